--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -51,10 +51,11 @@
 		Settings: settings, Clock: clockwork.NewRealClock(), Boot: boottime.System{}, Log: log,
 		Adapter: gw.Adapter{
 			Endpoints: platform.Endpoints(store), Configurations: platform.Configurations(store), Evacuations: platform.Evacuations(store),
-			ConfigurationName: platform.ConfigurationName, Codec: platform.Codec{}, IDHeader: platform.IDHeader, ReadyPath: platform.ReadyPath,
+			ConfigurationName: platform.ConfigurationName, Codec: platform.Codec{}, IDHeader: platform.IDHeader, ReadyPath: platform.ReadyPath, Relocate: store.Relocate,
 			Engines: func(se dispatch.Sender) migration.Engines { return platform.Engines{Sender: se} },
 		},
 	}
+	go watchSettings(ctx, path, in, log)
 	if err := in.Run(ctx); err != nil {
 		log.Error().Str("event", "failed").Err(err).Msg("gateway: failed")
 		return fault{err}
@@ -62,6 +63,48 @@
 	return nil
 }
 
+// settingsInterval is how often the settings file is looked at: it may change
+// without a signal.
+const settingsInterval = 2 * time.Second
+
+// watchSettings reloads the settings on SIGHUP and when their file changes. A
+// file that can't be read changes nothing.
+func watchSettings(ctx context.Context, path string, in *gw.Gateway, log zerolog.Logger) {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	ti := time.NewTicker(settingsInterval)
+	defer ti.Stop()
+	changed := changeTime(path)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangups:
+		case <-ti.C:
+			if now := changeTime(path); now.Equal(changed) {
+				continue
+			}
+		}
+		changed = changeTime(path)
+		settings, err := platform.LoadSettings(path)
+		if err != nil {
+			log.Error().Str("event", "reload_failed").Err(err).Msg("gateway: the old settings stay in force")
+			continue
+		}
+		in.Reload(settings)
+	}
+}
+
+// changeTime returns when a file last changed, or the zero time.
+func changeTime(path string) time.Time {
+	info, err := os.Stat(path)
+	if err != nil {
+		return time.Time{}
+	}
+	return info.ModTime()
+}
+
 // newLog returns a log that never blocks.
 func newLog(ou output, instance string) (zerolog.Logger, func()) {
 	var log zerolog.Logger
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -31,10 +31,8 @@
 	Codec  Codec
 	Clock  clockwork.Clock
 	Log    zerolog.Logger
-	// KeyAge bounds the age of the proof that a caller's key is still valid.
-	KeyAge time.Duration
-	// DenyAge bounds the age of the proof that a route or key does not exist.
-	DenyAge time.Duration
+	// Ages returns the bounds on the age of what the store confirmed.
+	Ages func() Ages
 	// Members returns how many instances share the bounds of an endpoint.
 	Members func() int
 	// Runs takes in streams, so that they can be moved; nil moves none.
@@ -43,6 +41,14 @@
 	Meter *Meter
 }
 
+// Ages bounds the age of proofs.
+type Ages struct {
+	// Key is for the proof that a caller's key is still valid.
+	Key time.Duration
+	// Deny is for the proof that a route or key does not exist.
+	Deny time.Duration
+}
+
 // task is a request under way.
 type task struct {
 	*Request
@@ -96,7 +102,7 @@
 		switch {
 		case !re.HasKey || !known:
 			return nil, di.deny(age, refusal.New(refusal.Unauthenticated, "the key is not known"))
-		case age > di.KeyAge:
+		case age > di.Ages().Key:
 			return nil, di.stale(age, "keys")
 		}
 		ta.team = team.Name
@@ -118,7 +124,7 @@
 
 // deny refuses for good, or for now if a newer configuration may allow it.
 func (di *Dispatcher) deny(age time.Duration, er *refusal.Error) *refusal.Error {
-	if age <= di.DenyAge {
+	if age <= di.Ages().Deny {
 		return er
 	}
 	return di.stale(age, "routes")
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -23,6 +23,7 @@
 	"filbertstall.example/filbertstall/internal/placement"
 	"filbertstall.example/filbertstall/internal/roster"
 	"filbertstall.example/filbertstall/internal/routing"
+	"filbertstall.example/filbertstall/internal/snapshot"
 	"filbertstall.example/filbertstall/internal/upstream"
 )
 
@@ -44,6 +45,8 @@
 	Engines func(dispatch.Sender) migration.Engines
 	// IDHeader is the header field in which endpoints repeat a request's ID.
 	IDHeader string
+	// Relocate makes the sources read another store.
+	Relocate func(address string)
 	// ReadyPath is the path at which the platform asks for readiness.
 	ReadyPath string
 }
@@ -56,13 +59,14 @@
 	Boot     boottime.Clock
 	Log      zerolog.Logger
 
-	state   routing.State
-	roster  roster.Roster
-	board   placement.Board
-	pool    upstream.Pool
-	ingress ingress.Server
-	ready   *readiness
-	metrics *metric.Root
+	settings snapshot.Holder[Settings]
+	state    routing.State
+	roster   roster.Roster
+	board    placement.Board
+	pool     upstream.Pool
+	ingress  ingress.Server
+	ready    *readiness
+	metrics  *metric.Root
 }
 
 // The times that one call to the store waits for changes. The configuration's
@@ -94,6 +98,28 @@
 	return gr.Run(running)
 }
 
+// Reload takes in settings that changed. Listeners, the instance's name and its
+// zone stay as they were until the next start.
+func (gw *Gateway) Reload(se Settings) {
+	old := gw.settings.Load()
+	if old == nil || *old == se {
+		return
+	}
+	gw.settings.Store(&se)
+	if se.Store != old.Store && gw.Adapter.Relocate != nil {
+		gw.Adapter.Relocate(se.Store)
+	}
+	restart := se.Callers != old.Callers || se.Readiness != old.Readiness || se.Metrics != old.Metrics ||
+		se.Instance != old.Instance || se.Zone != old.Zone
+	gw.Log.Info().Str("event", "reloaded").Str("store", se.Store).Dur("key_bound", se.KeyBound).Bool("restart_needed", restart).Msg("gateway: settings reloaded")
+}
+
+// ages returns the bounds on proofs by the settings in force.
+func (gw *Gateway) ages() dispatch.Ages {
+	se := gw.settings.Load()
+	return dispatch.Ages{Key: se.keyAge(), Deny: se.denyAge()}
+}
+
 // listeners are the open listeners of an instance.
 type listeners struct {
 	callers, readiness, metrics net.Listener
@@ -115,6 +141,7 @@
 // build makes the parts of the instance and returns its controllers.
 func (gw *Gateway) build(li listeners) []controller.Controller {
 	se := gw.Settings
+	gw.settings.Store(&se)
 	gw.state = routing.State{Clock: gw.Boot}
 	gw.board = placement.Board{Clock: gw.Clock, Zone: se.Zone, Instance: se.Instance}
 	gw.pool = upstream.Pool{IDHeader: gw.Adapter.IDHeader, Clock: gw.Clock}
@@ -123,12 +150,12 @@
 	hangups := &hangup.Watcher{Clock: gw.Clock}
 	di := &dispatch.Dispatcher{
 		State: &gw.state, Roster: &gw.roster, Board: &gw.board, Sender: &gw.pool, Codec: gw.Adapter.Codec, Clock: gw.Clock, Log: gw.Log,
-		Budget: se.budget(gw.Clock), KeyAge: se.keyAge(), DenyAge: se.denyAge(), Members: func() int { return assumedMembers },
+		Budget: se.budget(gw.Clock), Ages: gw.ages, Members: func() int { return assumedMembers },
 		Runs: mover, Meter: &dispatch.Meter{Scope: gw.metrics.Scope},
 	}
 	gw.ingress = ingress.Server{Listener: li.callers, Codec: gw.Adapter.Codec, Dispatcher: di, Hangups: hangups, Clock: gw.Clock, Log: gw.Log}
 	gw.ingress.Prepare()
-	gw.ready = &readiness{state: &gw.state, roster: &gw.roster, keyAge: di.KeyAge}
+	gw.ready = &readiness{state: &gw.state, roster: &gw.roster, ages: gw.ages}
 	controllers := []controller.Controller{
 		&feed.Follower[routing.Configuration]{
 			Kind: "configuration", Source: gw.Adapter.Configurations, Clock: gw.Clock, Boot: gw.Boot, Log: gw.Log, Wait: configurationWait,
--- a/internal/gateway/readiness.go
+++ b/internal/gateway/readiness.go
@@ -8,6 +8,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"filbertstall.example/filbertstall/internal/dispatch"
 	"filbertstall.example/filbertstall/internal/roster"
 	"filbertstall.example/filbertstall/internal/routing"
 )
@@ -16,7 +17,7 @@
 type readiness struct {
 	state    *routing.State
 	roster   *roster.Roster
-	keyAge   time.Duration
+	ages     func() dispatch.Ages
 	stopping atomic.Bool
 }
 
@@ -24,7 +25,7 @@
 // endpoint is known, and the instance does not stop.
 func (re *readiness) ready() bool {
 	age, proven := re.state.Age()
-	return !re.stopping.Load() && proven && age <= re.keyAge && re.roster.View().Len() > 0
+	return !re.stopping.Load() && proven && age <= re.ages().Key && re.roster.View().Len() > 0
 }
 
 // plainServer serves small answers on a listener of its own.
