Move runs to another engine where one has no room; trust keys for 4.7 s

Cause: an engine that refused a copy (503) was asked three times and then the run was given up; each instance picked the same target. Keys were refused 3.8 s after the last proof, while callers of a cut-off instance still count.

Ruled out: the deaf second of a dropped history as a reason for the margin: a proof counts from before the call, and a call that spans the gap is cut.

--- a/internal/gateway/bound.go
+++ b/internal/gateway/bound.go
@@ -9,9 +9,10 @@
 )
 
 const (
-	// proofMargin is what is left of a bound on keys for watches that hear
-	// nothing for a second before the store drops its history, and for the way.
-	proofMargin = 1200 * time.Millisecond
+	// proofMargin is what is left of a bound on keys for the way from the caller
+	// and for clocks. A proof counts from before the store was asked, so that a
+	// key that was taken away later can't be covered by it.
+	proofMargin = 300 * time.Millisecond
 	// noBound is the age of proofs where the platform states no bound.
 	noBound = 24 * time.Hour
 	// budgetShare is how much of the shared budget for repeats is used: a share
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -72,7 +72,7 @@
 // The times that one call to the store waits for changes. The configuration's
 // is short, since each answer proves that no newer one exists.
 const (
-	configurationWait = 1200 * time.Millisecond
+	configurationWait = 1000 * time.Millisecond
 	endpointsWait     = 4 * time.Second
 	evacuationsWait   = 4 * time.Second
 )
--- a/internal/migration/mover.go
+++ b/internal/migration/mover.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -23,12 +24,20 @@
 type Engines interface {
 	// Copy copies the memory of a run to the engine at address target. A final
 	// copy stops the run first. An error with a handle means that the run was
-	// stopped and that its engine still holds the memory.
+	// stopped and that its engine still holds the memory. The error is
+	// ErrNoRoom if the target can't take the copy, and ErrNoRun if the run is
+	// over or has not begun.
 	Copy(ctx context.Context, source roster.Endpoint, run, target string, final bool) (Copied, error)
 	// Free drops a copy that nobody will use.
 	Free(ctx context.Context, source roster.Endpoint, handle string) error
 }
 
+// The errors of Engines that a plan answers.
+var (
+	ErrNoRoom = errors.New("migration: the target can't take the copy")
+	ErrNoRun  = errors.New("migration: the engine has no such run")
+)
+
 const (
 	// leaveTime is how long an engine that leaves is looked after.
 	leaveTime = 4 * time.Second
@@ -114,31 +123,39 @@
 	notice := mo.Clock.Now()
 	ctx, cancel := context.WithTimeout(context.Background(), leaveTime)
 	defer cancel()
-	tried := make(map[*Run]int)
+	ev := &evacuation{source: en, notice: notice, tries: make(map[*Run]int), full: map[string]bool{en.ID: true}}
 	for ctx.Err() == nil {
-		list := movable(mo.at(en, tried), mo.Clock.Since(notice))
-		mo.moveAll(ctx, en, list, notice, tried)
-		if len(list) > 0 {
-			continue
-		}
+		list := movable(mo.at(ev), mo.Clock.Since(notice))
+		moved := mo.moveAll(ctx, ev, list)
 		if mo.count(en) == 0 {
 			return
 		}
-		mo.sleep(ctx, lookInterval)
+		if !moved {
+			mo.sleep(ctx, lookInterval)
+		}
 	}
 }
 
 // maxTries bounds the moves of one run off one engine.
-const maxTries = 3
+const maxTries = 24
+
+// evacuation is the state of the moves off one engine.
+type evacuation struct {
+	source roster.Endpoint
+	notice time.Time
+	tries  map[*Run]int
+	// full are the engines that could not take a copy.
+	full map[string]bool
+}
 
 // at returns the runs at an engine that were not tried too often.
-func (mo *Mover) at(en roster.Endpoint, tried map[*Run]int) []candidate {
+func (mo *Mover) at(ev *evacuation) []candidate {
 	now := mo.Clock.Now()
 	mo.mu.Lock()
 	defer mo.mu.Unlock()
 	var list []candidate
 	for ru := range mo.runs {
-		if ru.Endpoint().ID == en.ID && tried[ru] < maxTries {
+		if ru.Endpoint().ID == ev.source.ID && ev.tries[ru] < maxTries {
 			list = append(list, ru.state(now))
 		}
 	}
@@ -165,51 +182,62 @@
 	handle string
 }
 
-// moveAll makes the first copies of all runs, then stops one after another.
-func (mo *Mover) moveAll(ctx context.Context, en roster.Endpoint, list []candidate, notice time.Time, tried map[*Run]int) {
+// moveAll makes the first copies of all runs, then stops one after another. It
+// returns whether any copy was made.
+func (mo *Mover) moveAll(ctx context.Context, ev *evacuation, list []candidate) bool {
 	var moves []*move
 	for _, ca := range list {
-		tried[ca.run]++
-		if mv := mo.first(ctx, en, ca); mv != nil {
+		ev.tries[ca.run]++
+		if mv := mo.first(ctx, ev, ca); mv != nil {
 			moves = append(moves, mv)
 		}
 	}
+	made := len(moves) > 0
 	for len(moves) > 0 && ctx.Err() == nil {
 		waiting := moves[:0]
 		for _, mv := range moves {
-			if !mo.second(ctx, en, mv, notice) {
+			if !mo.second(ctx, ev, mv) {
 				waiting = append(waiting, mv)
 			}
 		}
 		moves = waiting
 	}
 	for _, mv := range moves {
-		mo.abandon(en, mv)
+		mo.abandon(ev.source, mv)
 	}
+	return made
 }
 
-// first chooses a target and makes the long copy, while the run goes on.
-func (mo *Mover) first(ctx context.Context, en roster.Endpoint, ca candidate) *move {
-	wo := placement.Work{Engine: ca.run.Engine, Prompt: ca.tokens, Output: ca.remaining, Zone: en.Zone}
-	target, found := mo.Board.Choose(mo.Roster.View().Ready(ca.run.Service), wo, map[string]bool{en.ID: true})
-	if !found {
-		mo.Log.Info().Str("event", "move_without_target").Str("request", ca.run.ID).Str("endpoint", en.ID).Msg("migration: no engine has room")
-		return nil
-	}
-	mv := &move{run: ca.run, target: target, ticket: mo.Board.Begin(target, wo)}
-	mv.ticket.Started()
-	took, err := mo.copy(ctx, en, mv, false)
-	if err != nil {
-		mo.Log.Info().Str("event", "copy_failed").Str("request", ca.run.ID).Str("endpoint", en.ID).Str("target", target.ID).Dur("took", took).Err(err).Msg("migration: first copy failed")
+// first chooses a target and makes the long copy, while the run goes on. A
+// target without room is left out from then on.
+func (mo *Mover) first(ctx context.Context, ev *evacuation, ca candidate) *move {
+	wo := placement.Work{Engine: ca.run.Engine, Prompt: ca.tokens, Output: ca.remaining, Zone: ev.source.Zone}
+	for ctx.Err() == nil {
+		target, found := mo.Board.Choose(mo.Roster.View().Ready(ca.run.Service), wo, ev.full)
+		if !found {
+			mo.Log.Info().Str("event", "move_without_target").Str("request", ca.run.ID).Str("endpoint", ev.source.ID).Int("full", len(ev.full)).Msg("migration: no engine has room")
+			return nil
+		}
+		mv := &move{run: ca.run, target: target, ticket: mo.Board.Begin(target, wo)}
+		mv.ticket.Started()
+		took, err := mo.copy(ctx, ev.source, mv, false)
+		if err == nil {
+			return mv
+		}
 		mv.ticket.End(placement.Done)
-		return nil
+		mo.Log.Info().Str("event", "copy_failed").Str("request", ca.run.ID).Str("endpoint", ev.source.ID).Str("target", target.ID).Dur("took", took).Err(err).Msg("migration: first copy failed")
+		if !errors.Is(err, ErrNoRoom) {
+			return nil
+		}
+		ev.full[target.ID] = true
 	}
-	return mv
+	return nil
 }
 
 // second copies what is new and stops the run if the link is quiet. It returns
 // whether the move is over.
-func (mo *Mover) second(ctx context.Context, en roster.Endpoint, mv *move, notice time.Time) bool {
+func (mo *Mover) second(ctx context.Context, ev *evacuation, mv *move) bool {
+	en, notice := ev.source, ev.notice
 	took, err := mo.copy(ctx, en, mv, false)
 	if err != nil {
 		mo.abandon(en, mv)
