--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -119,6 +119,9 @@
 	}
 	if errors.Is(err, io.EOF) && se.complete() {
 		se.whole = len(se.pending)
+		se.di.Log.Info().Str("event", "delivered").Str("request", se.ta.ID).Str("endpoint", se.endpoint.ID).Int("events", se.events).
+			Int("moves", se.moves).Int("prompt", se.ta.Prompt.Tokens).Int("max_output", se.ta.Prompt.MaxOutput).Int("hint", se.ta.Prompt.Hint).
+			Dur("took", se.di.Clock.Since(se.ta.Arrived)).Msg("dispatch: stream delivered")
 		se.finish(placement.Done, io.EOF)
 		return
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"net/netip"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -18,6 +19,7 @@
 	"filbertstall.example/filbertstall/internal/feed"
 	"filbertstall.example/filbertstall/internal/hangup"
 	"filbertstall.example/filbertstall/internal/ingress"
+	"filbertstall.example/filbertstall/internal/loadshare"
 	"filbertstall.example/filbertstall/internal/metric"
 	"filbertstall.example/filbertstall/internal/migration"
 	"filbertstall.example/filbertstall/internal/placement"
@@ -38,6 +40,8 @@
 	Endpoints      feed.Source[roster.Endpoint]
 	Configurations feed.Source[routing.Configuration]
 	Evacuations    feed.Source[string]
+	Members        feed.Source[loadshare.Member]
+	Registry       Registry
 	// ConfigurationName is the name of the object with the configuration.
 	ConfigurationName string
 	Codec             Codec
@@ -63,6 +67,8 @@
 	state    routing.State
 	roster   roster.Roster
 	board    placement.Board
+	members  loadshare.Members
+	turns    loadshare.Turns
 	pool     upstream.Pool
 	ingress  ingress.Server
 	ready    *readiness
@@ -75,6 +81,7 @@
 	configurationWait = 1000 * time.Millisecond
 	endpointsWait     = 4 * time.Second
 	evacuationsWait   = 4 * time.Second
+	membersWait       = 25 * time.Second
 )
 
 // Run runs the instance until ctx ends, then stops it in order.
@@ -123,6 +130,8 @@
 // listeners are the open listeners of an instance.
 type listeners struct {
 	callers, readiness, metrics net.Listener
+	// peers is nil if the instance tells and hears no others.
+	peers *net.UDPConn
 }
 
 func (gw *Gateway) listen() (li listeners, err error) {
@@ -133,8 +142,18 @@
 		return li, err
 	}
 	if gw.Settings.Metrics != "" {
-		li.metrics, err = net.Listen("tcp4", gw.Settings.Metrics)
+		if li.metrics, err = net.Listen("tcp4", gw.Settings.Metrics); err != nil {
+			return li, err
+		}
 	}
+	if gw.Settings.Peers == "" {
+		return li, nil
+	}
+	address, err := netip.ParseAddrPort(gw.Settings.Peers)
+	if err != nil {
+		return li, err
+	}
+	li.peers, err = net.ListenUDP("udp4", net.UDPAddrFromAddrPort(address))
 	return li, err
 }
 
@@ -143,14 +162,15 @@
 	se := gw.Settings
 	gw.settings.Store(&se)
 	gw.state = routing.State{Clock: gw.Boot}
-	gw.board = placement.Board{Clock: gw.Clock, Zone: se.Zone, Instance: se.Instance}
+	gw.board = placement.Board{Clock: gw.Clock, Zone: se.Zone, Instance: se.Instance, Changes: make(chan struct{}, 1)}
+	gw.turns = loadshare.Turns{Instance: se.Instance, Changes: gw.board.Changes}
 	gw.pool = upstream.Pool{IDHeader: gw.Adapter.IDHeader, Clock: gw.Clock}
-	mover := &migration.Mover{Engines: gw.Adapter.Engines(&gw.pool), Roster: &gw.roster, Board: &gw.board, Clock: gw.Clock, Log: gw.Log}
+	mover := &migration.Mover{Engines: gw.Adapter.Engines(&gw.pool), Roster: &gw.roster, Board: &gw.board, Clock: gw.Clock, Log: gw.Log, Turns: &gw.turns}
 	gw.roster = roster.Roster{Clock: gw.Clock, Log: gw.Log, OnLeave: mover.Leaving}
 	hangups := &hangup.Watcher{Clock: gw.Clock}
 	di := &dispatch.Dispatcher{
 		State: &gw.state, Roster: &gw.roster, Board: &gw.board, Sender: &gw.pool, Codec: gw.Adapter.Codec, Clock: gw.Clock, Log: gw.Log,
-		Budget: se.budget(gw.Clock), Ages: gw.ages, Members: func() int { return assumedMembers },
+		Budget: se.budget(gw.Clock), Ages: gw.ages, Members: gw.memberCount,
 		Runs: mover, Meter: &dispatch.Meter{Scope: gw.metrics.Scope},
 	}
 	gw.ingress = ingress.Server{Listener: li.callers, Codec: gw.Adapter.Codec, Dispatcher: di, Hangups: hangups, Clock: gw.Clock, Log: gw.Log}
@@ -175,9 +195,31 @@
 		metrics := fasthttpadaptor.NewFastHTTPHandler(gw.metrics.Handler)
 		controllers = append(controllers, &plainServer{name: "metrics", listener: li.metrics, handler: metrics})
 	}
+	if li.peers != nil {
+		controllers = append(controllers, gw.sharing(li.peers)...)
+	}
 	return controllers
 }
 
+// sharing returns the controllers that tell other instances what runs here.
+func (gw *Gateway) sharing(conn *net.UDPConn) []controller.Controller {
+	se := gw.Settings
+	self := loadshare.Member{Name: se.Instance, Zone: se.Zone, Address: netip.MustParseAddrPort(se.Peers)}
+	return []controller.Controller{
+		&registration{registry: gw.Adapter.Registry, self: self, clock: gw.Clock, log: gw.Log},
+		&feed.Follower[loadshare.Member]{
+			Kind: "members", Source: gw.Adapter.Members, Clock: gw.Clock, Boot: gw.Boot, Log: gw.Log, Wait: membersWait,
+			Sink: &memberSink{members: &gw.members},
+		},
+		&loadshare.Exchange{
+			Conn: conn, Instance: se.Instance, Zone: se.Zone, Board: &gw.board, Members: &gw.members, Turns: &gw.turns, Clock: gw.Clock, Log: gw.Log,
+		},
+	}
+}
+
+// memberCount returns how many instances share the bounds of endpoints.
+func (gw *Gateway) memberCount() int { return max(len(gw.members.List()), 1) }
+
 func (gw *Gateway) serveReady(ctx *fasthttp.RequestCtx) {
 	if string(ctx.Path()) != gw.Adapter.ReadyPath {
 		ctx.SetStatusCode(http.StatusNotFound)
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -13,6 +13,9 @@
 	Callers   string
 	Readiness string
 	Metrics   string
+	// Peers is the address for datagrams between instances; empty means that
+	// the instance neither tells nor hears others.
+	Peers string
 	// Store is the address of the platform's store.
 	Store string
 	// KeyBound is the time after which a key that was taken away must not be
--- a/internal/migration/mover.go
+++ b/internal/migration/mover.go
@@ -32,6 +32,15 @@
 	Free(ctx context.Context, source roster.Endpoint, handle string) error
 }
 
+// Turns orders the moves of several instances off one engine.
+type Turns interface {
+	// Announce tells the others how many runs of this instance are to be moved
+	// off an engine.
+	Announce(endpoint string, runs int)
+	// Ahead returns how many runs of instances that come first are.
+	Ahead(endpoint string) int
+}
+
 // The errors of Engines that a plan answers.
 var (
 	ErrNoRoom = errors.New("migration: the target can't take the copy")
@@ -44,6 +53,9 @@
 	// lookInterval is the pause between two looks for runs that started since.
 	lookInterval = 40 * time.Millisecond
 	copyTimeout  = 2 * time.Second
+	// announceTime is how long the word of moves is under way to others.
+	announceTime = 15 * time.Millisecond
+	turnInterval = 10 * time.Millisecond
 )
 
 // Mover moves runs. Set the exported fields before use. It is safe for
@@ -54,6 +66,8 @@
 	Board   *placement.Board
 	Clock   clockwork.Clock
 	Log     zerolog.Logger
+	// Turns orders the moves of several instances off one engine.
+	Turns Turns
 
 	mu   sync.Mutex
 	runs map[*Run]struct{}
@@ -124,15 +138,35 @@
 	ctx, cancel := context.WithTimeout(context.Background(), leaveTime)
 	defer cancel()
 	ev := &evacuation{source: en, notice: notice, tries: make(map[*Run]int), full: map[string]bool{en.ID: true}}
+	defer mo.Turns.Announce(en.ID, 0)
 	for ctx.Err() == nil {
 		list := movable(mo.at(ev), mo.Clock.Since(notice))
-		moved := mo.moveAll(ctx, ev, list)
+		mo.Turns.Announce(en.ID, len(list))
+		if len(list) > 0 && mo.moveAll(ctx, ev, list) {
+			continue
+		}
 		if mo.count(en) == 0 {
 			return
 		}
-		if !moved {
-			mo.sleep(ctx, lookInterval)
+		mo.sleep(ctx, lookInterval)
+	}
+}
+
+// awaitTurn waits until instances that come first have moved their runs, or
+// have had the time for it: copies of one engine queue on its link, and a run
+// that is stopped behind the copies of others pauses for as long as they take.
+func (mo *Mover) awaitTurn(ctx context.Context, ev *evacuation) {
+	if !ev.announced {
+		ev.announced = true
+		mo.sleep(ctx, announceTime)
+	}
+	begun := mo.Clock.Now()
+	for ctx.Err() == nil {
+		ahead := mo.Turns.Ahead(ev.source.ID)
+		if ahead == 0 || mo.Clock.Since(begun) >= turnBound(ahead) || mo.Clock.Since(ev.notice) >= lastTurn {
+			return
 		}
+		mo.sleep(ctx, turnInterval)
 	}
 }
 
@@ -146,6 +180,8 @@
 	tries  map[*Run]int
 	// full are the engines that could not take a copy.
 	full map[string]bool
+	// announced tells that other instances had the time to hear of the moves.
+	announced bool
 }
 
 // at returns the runs at an engine that were not tried too often.
@@ -182,30 +218,29 @@
 	handle string
 }
 
-// moveAll makes the first copies of all runs, then stops one after another. It
-// returns whether any copy was made.
+// moveAll moves runs one after another. It returns whether any was moved.
 func (mo *Mover) moveAll(ctx context.Context, ev *evacuation, list []candidate) bool {
-	var moves []*move
-	for _, ca := range list {
+	moved := false
+	for ix, ca := range list {
+		mo.awaitTurn(ctx, ev)
 		ev.tries[ca.run]++
 		if mv := mo.first(ctx, ev, ca); mv != nil {
-			moves = append(moves, mv)
+			moved = true
+			mo.last(ctx, ev, mv)
 		}
+		mo.Turns.Announce(ev.source.ID, len(list)-ix-1)
 	}
-	made := len(moves) > 0
-	for len(moves) > 0 && ctx.Err() == nil {
-		waiting := moves[:0]
-		for _, mv := range moves {
-			if !mo.second(ctx, ev, mv) {
-				waiting = append(waiting, mv)
-			}
+	return moved
+}
+
+// last makes short copies until the link is quiet, then stops the run.
+func (mo *Mover) last(ctx context.Context, ev *evacuation, mv *move) {
+	for ctx.Err() == nil {
+		if mo.second(ctx, ev, mv) {
+			return
 		}
-		moves = waiting
-	}
-	for _, mv := range moves {
-		mo.abandon(ev.source, mv)
 	}
-	return made
+	mo.abandon(ev.source, mv)
 }
 
 // first chooses a target and makes the long copy, while the run goes on. A
--- a/internal/migration/plan.go
+++ b/internal/migration/plan.go
@@ -33,6 +33,16 @@
 	quietLink = 50 * time.Millisecond
 )
 
+// lastTurn is the time after the notice from which nobody waits for a turn.
+const lastTurn = 1000 * time.Millisecond
+
+// turnTime is how long the move of one run takes at most, if none is in front
+// of it: the copy of a long prompt into another zone.
+const turnTime = 450 * time.Millisecond
+
+// turnBound bounds the wait for runs of other instances.
+func turnBound(runs int) time.Duration { return time.Duration(runs) * turnTime }
+
 // movable returns the runs that are worth a move, those with the least to copy
 // first: they are safe soonest, and a copy that is cut off by the engine's end
 // saves nobody.
--- a/internal/placement/account.go
+++ b/internal/placement/account.go
@@ -23,6 +23,8 @@
 type account struct {
 	// running counts requests that were begun and have not ended.
 	running int
+	// generations are those of them that an engine makes.
+	generations int
 	// reading is how many tokens of prompts wait to be read.
 	reading int
 	// held is how many tokens the running generations hold, or will.
--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -36,15 +36,21 @@
 	Zone string
 	// Instance breaks ties differently on each instance.
 	Instance string
+	// Changes gets a value when the work at engines changes, unless one waits
+	// there; nil gets none.
+	Changes chan struct{}
 
 	mu       sync.Mutex
 	accounts map[string]*account
-	// foreign is the sum of what other instances told of an endpoint.
+	// told is what each other instance said last; foreign is the sum by endpoint.
+	told    map[string]map[string]Load
 	foreign map[string]Load
 }
 
 // Load is what instances tell each other of an endpoint.
 type Load struct {
+	// Running counts generations, Reading the tokens of prompts that wait to be
+	// read, and Held the tokens that generations take up or will.
 	Running int
 	Reading int
 	Held    int
@@ -62,6 +68,9 @@
 	callCost = 60.0
 	// zoneCost is for endpoints in another zone: the way there and back.
 	zoneCost = 6.0
+	// engineZoneCost is for engines in another zone: a stream there ends when
+	// the zones are cut off from each other, and its copies take twice as long.
+	engineZoneCost = 60.0
 	// copyZoneCost is for a copy into another zone, which takes twice as long.
 	copyZoneCost = 150.0
 	// failureCost is for an endpoint that failed once just now.
@@ -118,10 +127,7 @@
 		home = wo.Zone
 	}
 	if en.Zone != home {
-		cost += zoneCost
-		if wo.Zone != "" {
-			cost += copyZoneCost
-		}
+		cost += wo.away()
 	}
 	lo := bo.foreign[en.ID]
 	lo.Running += ac.running
@@ -133,6 +139,18 @@
 	return cost + engineCost(lo, wo), true
 }
 
+// away is the cost of an endpoint in another zone.
+func (wo Work) away() float64 {
+	switch {
+	case wo.Zone != "":
+		return copyZoneCost
+	case wo.Engine != nil:
+		return engineZoneCost
+	default:
+		return zoneCost
+	}
+}
+
 // engineCost is the cost of a generation at an engine with a load.
 func engineCost(lo Load, wo Work) float64 {
 	cost := float64(lo.Reading)/readTokensPerMillisecond + runCost*float64(lo.Running)
@@ -156,26 +174,57 @@
 	return math.Exp2(-float64(age) / float64(halfLife))
 }
 
-// Merge replaces what other instances told.
-func (bo *Board) Merge(foreign map[string]Load) {
-	bo.mu.Lock()
-	defer bo.mu.Unlock()
-	bo.foreign = foreign
-}
-
-// Loads returns the accounts of this instance that are not empty.
+// Loads returns what runs at engines by the accounts of this instance.
 func (bo *Board) Loads() map[string]Load {
 	bo.mu.Lock()
 	defer bo.mu.Unlock()
 	loads := make(map[string]Load, len(bo.accounts))
 	for id, ac := range bo.accounts {
-		if ac.running > 0 {
-			loads[id] = Load{Running: ac.running, Reading: ac.reading, Held: ac.held}
+		if ac.generations > 0 {
+			loads[id] = Load{Running: ac.generations, Reading: ac.reading, Held: ac.held}
 		}
 	}
 	return loads
 }
 
+// Tell replaces what another instance said of its work at engines.
+func (bo *Board) Tell(instance string, loads map[string]Load) {
+	bo.mu.Lock()
+	defer bo.mu.Unlock()
+	if bo.told == nil {
+		bo.told, bo.foreign = make(map[string]map[string]Load), make(map[string]Load)
+	}
+	for id, lo := range bo.told[instance] {
+		bo.addForeign(id, Load{-lo.Running, -lo.Reading, -lo.Held})
+	}
+	for id, lo := range loads {
+		bo.addForeign(id, lo)
+	}
+	bo.told[instance] = loads
+	if len(loads) == 0 {
+		delete(bo.told, instance)
+	}
+}
+
+func (bo *Board) addForeign(id string, lo Load) {
+	sum := bo.foreign[id]
+	sum.Running += lo.Running
+	sum.Reading += lo.Reading
+	sum.Held += lo.Held
+	bo.foreign[id] = sum
+	if sum == (Load{}) {
+		delete(bo.foreign, id)
+	}
+}
+
+// changed tells listeners that the work at engines changed.
+func (bo *Board) changed() {
+	select {
+	case bo.Changes <- struct{}{}:
+	default:
+	}
+}
+
 // Forget drops the accounts of endpoints that are gone and have nothing
 // running.
 func (bo *Board) Forget(known func(id string) bool) {
--- a/internal/placement/doc.go
+++ b/internal/placement/doc.go
@@ -4,8 +4,8 @@
 // It is plain state without network. A Board keeps an account for each
 // endpoint: the prompts that wait to be read, the generations that run, the
 // tokens that they hold, and how lately the endpoint failed. Several instances
-// send to the same endpoints, so the account of one instance is a sample; the
-// accounts of the others can be added by Merge.
+// send to the same engines, so they tell each other their accounts
+// (internal/loadshare), and Tell adds them.
 //
 // # Usage
 //
--- a/internal/placement/ticket.go
+++ b/internal/placement/ticket.go
@@ -8,6 +8,7 @@
 	id      string
 	reading int
 	held    int
+	engine  bool
 	ended   bool
 }
 
@@ -21,7 +22,9 @@
 	ac.arrivals = append(ac.arrivals, bo.Clock.Now())
 	ac.arrivedLately(bo.Clock.Now())
 	if wo.Engine != nil {
-		ti.reading, ti.held = wo.Prompt, wo.Prompt+wo.Output
+		ti.engine, ti.reading, ti.held = true, wo.Prompt, wo.Prompt+wo.Output
+		ac.generations++
+		defer bo.changed()
 	}
 	ac.reading += ti.reading
 	ac.held += ti.held
@@ -35,6 +38,7 @@
 	if !ti.ended {
 		ti.board.account(ti.id).reading -= ti.reading
 		ti.reading = 0
+		ti.board.changed()
 	}
 }
 
@@ -48,6 +52,10 @@
 	ti.ended = true
 	ac := ti.board.account(ti.id)
 	ac.running--
+	if ti.engine {
+		ac.generations--
+		defer ti.board.changed()
+	}
 	ac.reading -= ti.reading
 	ac.held -= ti.held
 	ac.settle(ou, ti.board.Clock.Now())
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -16,7 +16,7 @@
 const (
 	// dialTimeout bounds the time to connect: a retransmitted first packet
 	// takes a second, and another endpoint is a better use of it.
-	dialTimeout = 400 * time.Millisecond
+	dialTimeout = 200 * time.Millisecond
 	// defaultIdleLimit is for endpoints that state no idle timeout.
 	defaultIdleLimit = 3 * time.Second
 	// idleMargin keeps from using a connection as the endpoint closes it.
