Let one instance of each zone read the store for the others

Members that start together were not heard within 3 s, so all of them read the store for 5 s once more.

Ruled out: longer waits (a change wakes all the same), stale reads (seconds old), datagrams with the changes (a loss would need an answer).

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -73,7 +73,9 @@
 	Boot   boottime.Clock
 	// Wait is how long one call waits for changes.
 	Wait time.Duration
-	Log  zerolog.Logger
+	// Gap is the pause behind changes, so that several come with one call.
+	Gap time.Duration
+	Log zerolog.Logger
 
 	revision int64
 	listed   bool
@@ -83,8 +85,9 @@
 // Name implements controller.Controller.
 func (fo *Follower[T]) Name() string { return "feed " + fo.Kind }
 
-// Run follows until ctx ends.
+// Run follows until ctx ends. It may be called again then.
 func (fo *Follower[T]) Run(ctx context.Context) error {
+	fo.listed, fo.failures = false, 0
 	for ctx.Err() == nil {
 		err := fo.step(ctx)
 		if ctx.Err() != nil {
@@ -109,7 +112,7 @@
 	begun := fo.Boot.Now()
 	if !fo.listed {
 		list, revision, err := fo.Source.List(ctx)
-		if err != nil {
+		if err = errors.Join(err, ctx.Err()); err != nil {
 			return err
 		}
 		fo.revision, fo.listed = revision, true
@@ -118,7 +121,7 @@
 		return nil
 	}
 	changes, revision, err := fo.Source.Watch(ctx, fo.revision, fo.Wait)
-	if err != nil {
+	if err = errors.Join(err, ctx.Err()); err != nil {
 		return err
 	}
 	fo.revision = max(fo.revision, revision)
@@ -126,6 +129,9 @@
 		fo.Sink.Apply(changes)
 	}
 	fo.Sink.Contact(begun)
+	if len(changes) > 0 && fo.Gap > 0 {
+		fo.wait(ctx, fo.Gap)
+	}
 	return nil
 }
 
@@ -146,8 +152,12 @@
 
 func (fo *Follower[T]) pause(ctx context.Context) {
 	bound := min(firstPause<<min(fo.failures, 8), lastPause)
+	fo.wait(ctx, bound/2+rand.N(bound/2))
+}
+
+func (fo *Follower[T]) wait(ctx context.Context, pause time.Duration) {
 	select {
 	case <-ctx.Done():
-	case <-fo.Clock.After(bound/2 + rand.N(bound/2)):
+	case <-fo.Clock.After(pause):
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -22,7 +22,9 @@
 	"filbertstall.example/filbertstall/internal/loadshare"
 	"filbertstall.example/filbertstall/internal/metric"
 	"filbertstall.example/filbertstall/internal/migration"
+	"filbertstall.example/filbertstall/internal/peer"
 	"filbertstall.example/filbertstall/internal/placement"
+	"filbertstall.example/filbertstall/internal/relay"
 	"filbertstall.example/filbertstall/internal/roster"
 	"filbertstall.example/filbertstall/internal/routing"
 	"filbertstall.example/filbertstall/internal/snapshot"
@@ -68,6 +70,7 @@
 	roster   roster.Roster
 	board    placement.Board
 	members  loadshare.Members
+	relay    relay.Log
 	turns    loadshare.Turns
 	pool     upstream.Pool
 	ingress  ingress.Server
@@ -79,9 +82,11 @@
 // is short, since each answer proves that no newer one exists.
 const (
 	configurationWait = 1000 * time.Millisecond
-	endpointsWait     = 4 * time.Second
+	endpointsWait     = 3 * time.Second
 	evacuationsWait   = 4 * time.Second
 	membersWait       = 25 * time.Second
+	// membersGap is behind the first list: all instances start together.
+	membersGap = 2 * time.Second
 )
 
 // Run runs the instance until ctx ends, then stops it in order.
@@ -132,6 +137,8 @@
 	callers, readiness, metrics net.Listener
 	// peers is nil if the instance tells and hears no others.
 	peers *net.UDPConn
+	// calls takes calls of other instances, at the same address.
+	calls net.Listener
 }
 
 func (gw *Gateway) listen() (li listeners, err error) {
@@ -153,7 +160,10 @@
 	if err != nil {
 		return li, err
 	}
-	li.peers, err = net.ListenUDP("udp4", net.UDPAddrFromAddrPort(address))
+	if li.peers, err = net.ListenUDP("udp4", net.UDPAddrFromAddrPort(address)); err != nil {
+		return li, err
+	}
+	li.calls, err = net.Listen("tcp4", gw.Settings.Peers)
 	return li, err
 }
 
@@ -166,7 +176,8 @@
 	gw.turns = loadshare.Turns{Instance: se.Instance, Changes: gw.board.Changes}
 	gw.pool = upstream.Pool{IDHeader: gw.Adapter.IDHeader, Clock: gw.Clock}
 	mover := &migration.Mover{Engines: gw.Adapter.Engines(&gw.pool), Roster: &gw.roster, Board: &gw.board, Clock: gw.Clock, Log: gw.Log, Turns: &gw.turns}
-	gw.roster = roster.Roster{Clock: gw.Clock, Log: gw.Log, OnLeave: mover.Leaving}
+	gw.roster = roster.Roster{Clock: gw.Clock, Log: gw.Log, OnLeave: mover.Leaving, OnChange: gw.relay.Observe}
+	gw.relay = relay.Log{Boot: gw.Boot, Roster: &gw.roster, State: &gw.state, Now: gw.Clock.Now, Epoch: gw.Clock.Now().UnixNano()}
 	hangups := &hangup.Watcher{Clock: gw.Clock}
 	di := &dispatch.Dispatcher{
 		State: &gw.state, Roster: &gw.roster, Board: &gw.board, Sender: &gw.pool, Codec: gw.Adapter.Codec, Clock: gw.Clock, Log: gw.Log,
@@ -177,17 +188,6 @@
 	gw.ingress.Prepare()
 	gw.ready = &readiness{state: &gw.state, roster: &gw.roster, ages: gw.ages}
 	controllers := []controller.Controller{
-		&feed.Follower[routing.Configuration]{
-			Kind: "configuration", Source: gw.Adapter.Configurations, Clock: gw.Clock, Boot: gw.Boot, Log: gw.Log, Wait: configurationWait,
-			Sink: &configurationSink{name: gw.Adapter.ConfigurationName, state: &gw.state, log: gw.Log},
-		},
-		&feed.Follower[roster.Endpoint]{
-			Kind: "endpoints", Source: gw.Adapter.Endpoints, Clock: gw.Clock, Boot: gw.Boot, Log: gw.Log, Wait: endpointsWait, Sink: &gw.roster,
-		},
-		&feed.Follower[string]{
-			Kind: "evacuations", Source: gw.Adapter.Evacuations, Clock: gw.Clock, Boot: gw.Boot, Log: gw.Log, Wait: evacuationsWait,
-			Sink: &evacuationSink{roster: &gw.roster, log: gw.Log},
-		},
 		hangups, &gw.ingress, &janitor{gw: gw},
 		&plainServer{name: "readiness", listener: li.readiness, handler: gw.serveReady},
 	}
@@ -195,24 +195,75 @@
 		metrics := fasthttpadaptor.NewFastHTTPHandler(gw.metrics.Handler)
 		controllers = append(controllers, &plainServer{name: "metrics", listener: li.metrics, handler: metrics})
 	}
-	if li.peers != nil {
-		controllers = append(controllers, gw.sharing(li.peers)...)
+	if li.peers == nil {
+		return append(append(controllers, gw.followConfiguration()), gw.followOthers()...)
+	}
+	return append(controllers, gw.sharing(li)...)
+}
+
+// followConfiguration returns what follows the store's configuration.
+func (gw *Gateway) followConfiguration() controller.Controller {
+	return &feed.Follower[routing.Configuration]{
+		Kind: "configuration", Source: gw.Adapter.Configurations, Clock: gw.Clock, Boot: gw.Boot, Log: gw.Log, Wait: configurationWait,
+		Sink: gw.configurationSink(),
+	}
+}
+
+func (gw *Gateway) configurationSink() *configurationSink {
+	return &configurationSink{name: gw.Adapter.ConfigurationName, state: &gw.state, log: gw.Log, changed: gw.relay.Observe}
+}
+
+// followOthers returns what follows the store's endpoints and zones.
+func (gw *Gateway) followOthers() []controller.Controller {
+	return []controller.Controller{
+		&feed.Follower[roster.Endpoint]{
+			Kind: "endpoints", Source: gw.Adapter.Endpoints, Clock: gw.Clock, Boot: gw.Boot, Log: gw.Log, Wait: endpointsWait,
+			Sink: &endpointSink{Roster: &gw.roster, contact: gw.relay.Contact},
+		},
+		&feed.Follower[string]{
+			Kind: "evacuations", Source: gw.Adapter.Evacuations, Clock: gw.Clock, Boot: gw.Boot, Log: gw.Log, Wait: evacuationsWait,
+			Sink: &evacuationSink{roster: &gw.roster},
+		},
+	}
+}
+
+// fetchConfiguration reads the configuration from the store once.
+func (gw *Gateway) fetchConfiguration(ctx context.Context) error {
+	begun := gw.Boot.Now()
+	list, _, err := gw.Adapter.Configurations.List(ctx)
+	if err != nil {
+		return err
 	}
-	return controllers
+	sink := gw.configurationSink()
+	sink.Reset(list)
+	sink.Contact(begun)
+	return nil
 }
 
-// sharing returns the controllers that tell other instances what runs here.
-func (gw *Gateway) sharing(conn *net.UDPConn) []controller.Controller {
+// sharing returns the controllers that tell other instances what runs here and
+// read the store together with them.
+func (gw *Gateway) sharing(li listeners) []controller.Controller {
 	se := gw.Settings
-	self := loadshare.Member{Name: se.Instance, Zone: se.Zone, Address: netip.MustParseAddrPort(se.Peers)}
+	self := loadshare.Member{Name: se.Instance, Zone: se.Zone, Address: netip.MustParseAddrPort(se.Peers), Link: se.Link}
+	exchange := &loadshare.Exchange{
+		Conn: li.peers, Instance: se.Instance, Zone: se.Zone, Board: &gw.board, Members: &gw.members, Turns: &gw.turns, Clock: gw.Clock, Log: gw.Log,
+	}
+	peers := &peer.Server{Listener: li.calls}
+	if err := peers.Register(relay.ServiceName, gw.relay.Service()); err != nil {
+		// Only a service without methods of the right form fails.
+		panic(err)
+	}
 	return []controller.Controller{
 		&registration{registry: gw.Adapter.Registry, self: self, clock: gw.Clock, log: gw.Log},
 		&feed.Follower[loadshare.Member]{
-			Kind: "members", Source: gw.Adapter.Members, Clock: gw.Clock, Boot: gw.Boot, Log: gw.Log, Wait: membersWait,
+			Kind: "members", Source: gw.Adapter.Members, Clock: gw.Clock, Boot: gw.Boot, Log: gw.Log, Wait: membersWait, Gap: membersGap,
 			Sink: &memberSink{members: &gw.members},
 		},
-		&loadshare.Exchange{
-			Conn: conn, Instance: se.Instance, Zone: se.Zone, Board: &gw.board, Members: &gw.members, Turns: &gw.turns, Clock: gw.Clock, Log: gw.Log,
+		exchange, peers,
+		&relay.Switch{
+			Log: &gw.relay, Caller: &peer.Client{}, Self: se.Instance, Zone: se.Zone, Members: &gw.members, Alive: exchange.Heard,
+			Configuration: gw.followConfiguration(), Others: gw.followOthers(), Fetch: gw.fetchConfiguration,
+			Roster: &gw.roster, State: &gw.state, Clock: gw.Clock, Boot: gw.Boot, Logger: gw.Log,
 		},
 	}
 }
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -16,6 +16,8 @@
 	// Peers is the address for datagrams between instances; empty means that
 	// the instance neither tells nor hears others.
 	Peers string
+	// Link is the bandwidth of the instance, in Mbit/s.
+	Link int
 	// Store is the address of the platform's store.
 	Store string
 	// KeyBound is the time after which a key that was taken away must not be
--- a/internal/gateway/sink.go
+++ b/internal/gateway/sink.go
@@ -17,6 +17,8 @@
 	name  string
 	state *routing.State
 	log   zerolog.Logger
+	// changed is called after a change; nil is called never.
+	changed func()
 }
 
 // Reset implements feed.Sink.
@@ -38,6 +40,18 @@
 // Contact implements feed.Sink.
 func (cs *configurationSink) Contact(begun time.Duration) { cs.state.Confirm(begun) }
 
+// endpointSink tells the log of readers how fresh the roster is.
+type endpointSink struct {
+	*roster.Roster
+	contact func(begun time.Duration)
+}
+
+// Contact implements feed.Sink.
+func (es *endpointSink) Contact(begun time.Duration) {
+	es.Roster.Contact(begun)
+	es.contact(begun)
+}
+
 // Trouble implements feed.Sink.
 func (*configurationSink) Trouble(error) {}
 
@@ -50,6 +64,9 @@
 		return
 	}
 	if cs.state.Put(ob.Value) {
+		if cs.changed != nil {
+			cs.changed()
+		}
 		cs.log.Info().Str("event", "configuration").Int64("version", ob.Value.Version).Msg("gateway: configuration in force")
 	}
 }
@@ -57,7 +74,6 @@
 // evacuationSink keeps the zones that operators want unused.
 type evacuationSink struct {
 	roster *roster.Roster
-	log    zerolog.Logger
 	zones  map[string]bool
 }
 
@@ -91,5 +107,4 @@
 func (es *evacuationSink) publish() {
 	zones := slices.Sorted(maps.Keys(es.zones))
 	es.roster.Evacuate(zones)
-	es.log.Info().Str("event", "evacuations").Strs("zones", zones).Msg("gateway: zones without work")
 }
--- a/internal/loadshare/exchange.go
+++ b/internal/loadshare/exchange.go
@@ -157,9 +157,9 @@
 	}
 }
 
-// Heard returns how many other instances were heard lately.
-func (ex *Exchange) Heard() int {
+// Heard tells whether another instance was heard lately.
+func (ex *Exchange) Heard(name string) bool {
 	ex.mu.Lock()
 	defer ex.mu.Unlock()
-	return len(ex.heard)
+	return ex.heard[name] != nil
 }
--- a/internal/loadshare/member.go
+++ b/internal/loadshare/member.go
@@ -11,6 +11,8 @@
 	Name    string
 	Zone    string
 	Address netip.AddrPort
+	// Link is the bandwidth of the instance, in Mbit/s.
+	Link int
 }
 
 // Members is the list of instances. The zero value is empty. It is safe for
--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -70,7 +70,7 @@
 	zoneCost = 6.0
 	// engineZoneCost is for engines in another zone: a stream there ends when
 	// the zones are cut off from each other, and its copies take twice as long.
-	engineZoneCost = 60.0
+	engineZoneCost = 80.0
 	// copyZoneCost is for a copy into another zone, which takes twice as long.
 	copyZoneCost = 150.0
 	// failureCost is for an endpoint that failed once just now.
--- /dev/null
+++ b/internal/relay/reader.go
@@ -0,0 +1,31 @@
+package relay
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"filbertstall.example/filbertstall/internal/loadshare"
+)
+
+// readerOf returns the instance that reads the store for a zone: of those that
+// are alive the one with the fastest link, and among equals the first by the
+// hash of its name, which spreads the work over zones with many instances.
+func readerOf(list []loadshare.Member, self, zone string, alive func(name string) bool) (loadshare.Member, bool) {
+	var able []loadshare.Member
+	for _, me := range list {
+		if me.Zone == zone && (me.Name == self || alive(me.Name)) {
+			able = append(able, me)
+		}
+	}
+	if len(able) == 0 {
+		return loadshare.Member{}, false
+	}
+	return slices.MinFunc(able, func(a, b loadshare.Member) int {
+		if order := cmp.Compare(b.Link, a.Link); order != 0 {
+			return order
+		}
+		return cmp.Compare(xxhash.Sum64String(a.Name), xxhash.Sum64String(b.Name))
+	}), true
+}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -46,6 +47,9 @@
 	// OnLeave is called, without locks, for each endpoint that was ready and
 	// now leaves or is gone.
 	OnLeave func(Endpoint)
+	// OnChange is called, without locks, after each change of the view; nil
+	// is called never.
+	OnChange func()
 
 	mu        sync.Mutex
 	endpoints map[string]Endpoint
@@ -135,8 +139,12 @@
 	})
 }
 
-// Evacuate replaces the zones whose endpoints get nothing.
+// Evacuate replaces the zones whose endpoints get nothing; they are in order.
 func (ro *Roster) Evacuate(zones []string) {
+	if slices.Equal(ro.View().Evacuated(), zones) {
+		return
+	}
+	ro.Log.Info().Str("event", "evacuations").Strs("zones", zones).Msg("roster: zones without work")
 	ro.update(func(time.Time) []Endpoint {
 		ro.evacuated = make(map[string]bool, len(zones))
 		for _, zone := range zones {
@@ -228,6 +236,9 @@
 	left := change(ro.Clock.Now())
 	ro.view.Store(ro.newView())
 	ro.mu.Unlock()
+	if ro.OnChange != nil {
+		ro.OnChange()
+	}
 	if ro.OnLeave == nil {
 		return
 	}
@@ -237,7 +248,7 @@
 }
 
 func (ro *Roster) newView() *View {
-	vi := &View{Listed: ro.listed, byService: make(map[string][]Endpoint), byID: make(map[string]Endpoint, len(ro.endpoints))}
+	vi := &View{Listed: ro.listed, evacuated: slices.Sorted(maps.Keys(ro.evacuated)), byService: make(map[string][]Endpoint), byID: make(map[string]Endpoint, len(ro.endpoints))}
 	for _, en := range ro.endpoints {
 		vi.byID[en.ID] = en
 		if !en.Leaving && !ro.evacuated[en.Zone] {
@@ -256,8 +267,16 @@
 	Listed    bool
 	byService map[string][]Endpoint
 	byID      map[string]Endpoint
+	evacuated []string
 }
 
+// All returns all endpoints by ID, also those that leave. It must not be
+// changed.
+func (vi *View) All() map[string]Endpoint { return vi.byID }
+
+// Evacuated returns the zones whose endpoints get nothing, in order.
+func (vi *View) Evacuated() []string { return vi.evacuated }
+
 // Ready returns a service's endpoints that may get requests, by ID.
 func (vi *View) Ready(service string) []Endpoint { return vi.byService[service] }
 
