Plan engines with the mean output of a route, and tell loads to all zones

Engines of other zones were unseen and looked idle, so they drew a third of the generations; the accounts planned with callers' guesses (off by ten) and called engines full.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -39,6 +39,8 @@
 	Runs Runs
 	// Meter counts; nil counts nothing.
 	Meter *Meter
+
+	outputs outputs
 }
 
 // Ages bounds the age of proofs.
@@ -165,34 +167,38 @@
 
 // work is what a task asks of an endpoint.
 func (di *Dispatcher) work(ta *task) placement.Work {
-	wo := placement.Work{Engine: ta.service.Engine, Prompt: ta.Prompt.Tokens, Output: ta.Prompt.expected()}
+	wo := placement.Work{Engine: ta.service.Engine, Prompt: ta.Prompt.Tokens, Output: di.outputs.expect(ta.route.Name, ta.Prompt)}
 	if ta.service.ColdRate > 0 {
 		wo.ColdRate = max(ta.service.ColdRate/float64(max(di.Members(), 1)), 1)
 	}
 	return wo
 }
 
-// expected returns how many tokens a generation is planned with.
-func (pr Prompt) expected() int {
-	if pr.Hint > 0 {
-		return min(pr.Hint, max(pr.MaxOutput, 1))
-	}
-	return pr.MaxOutput
-}
-
 // choose finds an endpoint that the task has not tried.
 func (di *Dispatcher) choose(ta *task, wo placement.Work) (roster.Endpoint, *refusal.Error) {
 	ready := di.Roster.View().Ready(ta.service.Name)
-	en, found := di.Board.Choose(ready, wo, ta.tried)
+	ch, found := di.Board.Choose(ready, wo, ta.tried)
 	if found {
-		return en, nil
+		di.placed(ta, ch, len(ready))
+		return ch.Endpoint, nil
 	}
-	return en, &refusal.Error{
+	return ch.Endpoint, &refusal.Error{
 		Reason: refusal.NoCapacity, RetryAfter: busyRetryAfter,
 		Detail: "no endpoint of " + ta.service.Name + " can take the request",
 	}
 }
 
+// placed logs why a generation goes to its engine. Plain calls are too many to
+// be logged one by one; theirs are the attempts that fail.
+func (di *Dispatcher) placed(ta *task, ch placement.Choice, ready int) {
+	if ta.service.Engine == nil {
+		return
+	}
+	di.Log.Info().Str("event", "placed").Str("request", ta.ID).Str("endpoint", ch.Endpoint.ID).Str("zone", ch.Endpoint.Zone).
+		Float64("cost_ms", ch.Cost).Int("running", ch.Load.Running).Int("reading", ch.Load.Reading).Int("held", ch.Load.Held).
+		Int("ready", ready).Int("prompt", ta.Prompt.Tokens).Msg("dispatch: engine chosen")
+}
+
 // mark remembers that an endpoint was tried.
 func (ta *task) mark(en roster.Endpoint) {
 	if ta.tried == nil {
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -76,6 +76,7 @@
 // open begins the session of a stream whose head has come.
 func (di *Dispatcher) open(ctx context.Context, cancel context.CancelFunc, ta *task, en roster.Endpoint, re result) *session {
 	re.ticket.Started()
+	di.Log.Info().Str("event", "started").Str("request", ta.ID).Str("endpoint", en.ID).Dur("took", di.Clock.Since(ta.Arrived)).Msg("dispatch: first event came")
 	se := &session{di: di, ta: ta, ctx: ctx, cancel: cancel, endpoint: en, answer: re.answer, ticket: re.ticket}
 	if ta.service.Engine != nil && ta.service.Engine.Migrates && di.Runs != nil {
 		se.run = &migration.Run{
@@ -122,6 +123,9 @@
 		se.di.Log.Info().Str("event", "delivered").Str("request", se.ta.ID).Str("endpoint", se.endpoint.ID).Int("events", se.events).
 			Int("moves", se.moves).Int("prompt", se.ta.Prompt.Tokens).Int("max_output", se.ta.Prompt.MaxOutput).Int("hint", se.ta.Prompt.Hint).
 			Dur("took", se.di.Clock.Since(se.ta.Arrived)).Msg("dispatch: stream delivered")
+		if en := se.ta.service.Engine; en != nil {
+			se.di.outputs.learn(se.ta.route.Name, se.events*en.TokensPerEvent)
+		}
 		se.finish(placement.Done, io.EOF)
 		return
 	}
--- a/internal/loadshare/exchange.go
+++ b/internal/loadshare/exchange.go
@@ -20,6 +20,9 @@
 	heartbeat = time.Second
 	// gap is how seldom an instance sends at most.
 	gap = 10 * time.Millisecond
+	// farTime is how much each instance of another zone adds to the gap between
+	// two messages there.
+	farTime = 4 * time.Millisecond
 	// silence is the time after which what an instance said is dropped.
 	silence = 3 * heartbeat
 )
@@ -50,7 +53,7 @@
 
 // sender is another instance.
 type sender struct {
-	started  int64
+	started  uint64
 	sequence uint64
 	at       time.Time
 }
@@ -71,7 +74,8 @@
 func (ex *Exchange) send(ctx context.Context) error {
 	ti := ex.Clock.NewTicker(heartbeat)
 	defer ti.Stop()
-	me := message{Instance: ex.Instance, Started: ex.Clock.Now().UnixMilli()}
+	me := message{Instance: ex.Instance, Started: uint64(max(ex.Clock.Now().UnixMilli(), 0))}
+	var toldFar time.Time
 	for {
 		select {
 		case <-ctx.Done():
@@ -80,9 +84,19 @@
 			ex.forget()
 		case <-ex.Board.Changes:
 		}
+		near, far := ex.Members.audience(ex.Instance, ex.Zone)
+		moves, news := ex.Turns.mine()
+		if now := ex.Clock.Now(); news || now.Sub(toldFar) >= farGap(len(far)) {
+			toldFar = now
+			near = append(near, far...)
+		}
 		me.Sequence++
-		me.Moves = ex.Turns.mine()
-		ex.tell(me)
+		me.Loads, me.Moves = ex.Board.Loads(), moves
+		data := encode(me)
+		for _, to := range near {
+			// An address that can't be sent to now is told with the next heartbeat.
+			_, _ = ex.Conn.WriteToUDPAddrPort(data, to)
+		}
 		select {
 		case <-ctx.Done():
 			return nil
@@ -91,17 +105,10 @@
 	}
 }
 
-// tell sends one message to everybody who should know.
-func (ex *Exchange) tell(me message) {
-	data, err := encode(me, ex.Board.Loads())
-	if err != nil {
-		ex.Log.Error().Str("event", "loads_not_encoded").Err(err).Msg("loadshare: nothing sent")
-		return
-	}
-	for _, to := range ex.Members.audience(ex.Instance, ex.Zone) {
-		// An address that can't be sent to now is told with the next heartbeat.
-		_, _ = ex.Conn.WriteToUDPAddrPort(data, to)
-	}
+// farGap returns how seldom other zones are told at most: with the number of
+// instances there, so that what one instance sends stays bounded.
+func farGap(instances int) time.Duration {
+	return min(time.Duration(instances)*farTime, heartbeat)
 }
 
 func (ex *Exchange) receive(ctx context.Context) error {
@@ -121,7 +128,7 @@
 
 // take takes in one message, unless a newer one of its sender came before.
 func (ex *Exchange) take(data []byte) {
-	me, loads, err := decode(data)
+	me, err := decode(data)
 	if err != nil {
 		ex.Log.Info().Str("event", "loads_unreadable").Err(err).Msg("loadshare: message dropped")
 		return
@@ -139,7 +146,7 @@
 		return
 	}
 	ex.heard[me.Instance] = &sender{started: me.Started, sequence: me.Sequence, at: ex.Clock.Now()}
-	ex.Board.Tell(me.Instance, loads)
+	ex.Board.Tell(me.Instance, me.Loads)
 	ex.Turns.take(me.Instance, me.Moves)
 }
 
--- a/internal/loadshare/member.go
+++ b/internal/loadshare/member.go
@@ -32,19 +32,17 @@
 	return nil
 }
 
-// manyMembers is the size from which loads are told only inside a zone: the
-// messages grow with the square of the number of instances, and engines of
-// other zones are a last resort.
-const manyMembers = 16
-
-// audience returns whom an instance tells its loads.
-func (ms *Members) audience(name, zone string) []netip.AddrPort {
-	list := ms.List()
-	var addresses []netip.AddrPort
-	for _, me := range list {
-		if me.Name != name && (len(list) < manyMembers || me.Zone == zone) {
-			addresses = append(addresses, me.Address)
+// audience returns whom an instance tells its loads, by whether they are in
+// its zone.
+func (ms *Members) audience(name, zone string) (near, far []netip.AddrPort) {
+	for _, me := range ms.List() {
+		switch {
+		case me.Name == name:
+		case me.Zone == zone:
+			near = append(near, me.Address)
+		default:
+			far = append(far, me.Address)
 		}
 	}
-	return addresses
+	return near, far
 }
--- a/internal/loadshare/turn.go
+++ b/internal/loadshare/turn.go
@@ -1,6 +1,7 @@
 package loadshare
 
 import (
+	"maps"
 	"sync"
 
 	"github.com/cespare/xxhash/v2"
@@ -15,7 +16,9 @@
 	// Changes gets a value when there is something to tell.
 	Changes chan<- struct{}
 
-	mu     sync.Mutex
+	mu sync.Mutex
+	// news tells that something was announced that was not sent yet.
+	news   bool
 	own    map[string]int
 	others map[string]map[string]int // by engine and instance
 }
@@ -31,6 +34,7 @@
 		tu.own = make(map[string]int)
 	}
 	tu.own[endpoint] = runs
+	tu.news = true
 	if runs == 0 {
 		delete(tu.own, endpoint)
 	}
@@ -57,19 +61,16 @@
 // rank is the place of an instance in the order for an engine.
 func rank(endpoint, instance string) uint64 { return xxhash.Sum64String(endpoint + "/" + instance) }
 
-// mine returns what this instance has announced.
-func (tu *Turns) mine() []endpointMoves {
+// mine returns what this instance has announced, and whether that is news.
+func (tu *Turns) mine() (moves map[string]int, news bool) {
 	tu.mu.Lock()
 	defer tu.mu.Unlock()
-	var list []endpointMoves
-	for endpoint, runs := range tu.own {
-		list = append(list, endpointMoves{Endpoint: endpoint, Runs: runs})
-	}
-	return list
+	news, tu.news = tu.news, false
+	return maps.Clone(tu.own), news
 }
 
 // take replaces what another instance has announced.
-func (tu *Turns) take(instance string, list []endpointMoves) {
+func (tu *Turns) take(instance string, moves map[string]int) {
 	tu.mu.Lock()
 	defer tu.mu.Unlock()
 	for endpoint, runs := range tu.others {
@@ -81,13 +82,13 @@
 	if tu.others == nil {
 		tu.others = make(map[string]map[string]int)
 	}
-	for _, mo := range list {
-		if mo.Runs <= 0 {
+	for endpoint, runs := range moves {
+		if runs <= 0 {
 			continue
 		}
-		if tu.others[mo.Endpoint] == nil {
-			tu.others[mo.Endpoint] = make(map[string]int)
+		if tu.others[endpoint] == nil {
+			tu.others[endpoint] = make(map[string]int)
 		}
-		tu.others[mo.Endpoint][instance] = mo.Runs
+		tu.others[endpoint][instance] = runs
 	}
 }
--- a/internal/migration/mover.go
+++ b/internal/migration/mover.go
@@ -248,7 +248,8 @@
 func (mo *Mover) first(ctx context.Context, ev *evacuation, ca candidate) *move {
 	wo := placement.Work{Engine: ca.run.Engine, Prompt: ca.tokens, Output: ca.remaining, Zone: ev.source.Zone}
 	for ctx.Err() == nil {
-		target, found := mo.Board.Choose(mo.Roster.View().Ready(ca.run.Service), wo, ev.full)
+		ch, found := mo.Board.Choose(mo.Roster.View().Ready(ca.run.Service), wo, ev.full)
+		target := ch.Endpoint
 		if !found {
 			mo.Log.Info().Str("event", "move_without_target").Str("request", ca.run.ID).Str("endpoint", ev.source.ID).Int("full", len(ev.full)).Msg("migration: no engine has room")
 			return nil
--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -68,9 +68,11 @@
 	callCost = 60.0
 	// zoneCost is for endpoints in another zone: the way there and back.
 	zoneCost = 6.0
-	// engineZoneCost is for engines in another zone: a stream there ends when
-	// the zones are cut off from each other, and its copies take twice as long.
-	engineZoneCost = 80.0
+	// engineZoneCost is for engines in another zone, and outputZoneCost for each
+	// token that is expected there: the longer a stream, the likelier it is cut
+	// off with its zone, or has to be copied while its engine leaves.
+	engineZoneCost = 30.0
+	outputZoneCost = 0.6
 	// copyZoneCost is for a copy into another zone, which takes twice as long.
 	copyZoneCost = 150.0
 	// failureCost is for an endpoint that failed once just now.
@@ -88,7 +90,7 @@
 
 // Choose returns the endpoint of least cost among those that are not excluded,
 // or false if none may be used now.
-func (bo *Board) Choose(list []roster.Endpoint, wo Work, exclude map[string]bool) (roster.Endpoint, bool) {
+func (bo *Board) Choose(list []roster.Endpoint, wo Work, exclude map[string]bool) (Choice, bool) {
 	now := bo.Clock.Now()
 	bo.mu.Lock()
 	defer bo.mu.Unlock()
@@ -102,9 +104,29 @@
 		}
 	}
 	if best < 0 {
-		return roster.Endpoint{}, false
+		return Choice{}, false
 	}
-	return list[best], true
+	return Choice{Endpoint: list[best], Cost: least, Load: bo.load(list[best].ID)}, true
+}
+
+// Choice is an endpoint with what decided for it.
+type Choice struct {
+	Endpoint roster.Endpoint
+	// Cost is what the request is expected to lose there, in milliseconds.
+	Cost float64
+	// Load is what runs there by all accounts.
+	Load Load
+}
+
+// load returns what runs at an endpoint by all accounts.
+func (bo *Board) load(id string) Load {
+	lo := bo.foreign[id]
+	if ac := bo.accounts[id]; ac != nil {
+		lo.Running += ac.running
+		lo.Reading += ac.reading
+		lo.Held += ac.held
+	}
+	return lo
 }
 
 func (bo *Board) cost(en roster.Endpoint, wo Work, now time.Time) (float64, bool) {
@@ -129,10 +151,7 @@
 	if en.Zone != home {
 		cost += wo.away()
 	}
-	lo := bo.foreign[en.ID]
-	lo.Running += ac.running
-	lo.Reading += ac.reading
-	lo.Held += ac.held
+	lo := bo.load(en.ID)
 	if wo.Engine == nil {
 		return cost + callCost*float64(lo.Running)/float64(max(en.Slots, 1)), true
 	}
@@ -145,7 +164,7 @@
 	case wo.Zone != "":
 		return copyZoneCost
 	case wo.Engine != nil:
-		return engineZoneCost
+		return engineZoneCost + outputZoneCost*float64(wo.Output)
 	default:
 		return zoneCost
 	}
