Hold nobody up by a run that can't be moved

Cause: a run that its engine no longer knew was asked for up to 24 times and stayed announced, so that instances behind it waited for their turn for up to 1.4 s; a run that was just moved was looked for at its old engine.

--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -201,7 +201,7 @@
 	di := se.di
 	at := Attempt{
 		Endpoint: mv.Target, Left: se.ta.left(di.Clock.Now()), Team: se.ta.team, PassCredential: se.ta.open,
-		Resume: &Resume{Source: mv.Source, Handle: mv.Handle, LastEvent: se.last},
+		Resume: &Resume{Source: mv.From.Address, Handle: mv.Handle, LastEvent: se.last},
 	}
 	di.Budget.Force(se.ta.service.Name)
 	an, err := di.Sender.Do(se.ctx, di.Codec.Call(se.ta.Request, at))
@@ -217,7 +217,6 @@
 		Str("target", mv.Target.ID).Str("last_event", se.last).Msg("dispatch: stream goes on")
 	di.Meter.attempt("resumed")
 	se.endpoint, se.answer, se.ticket = mv.Target, an, mv.Ticket
-	se.run.At(mv.Target)
 	if now, known := di.Roster.View().Get(mv.Target.ID); !known || now.Leaving {
 		di.leaving(mv.Target)
 	}
--- a/internal/migration/mover.go
+++ b/internal/migration/mover.go
@@ -99,7 +99,7 @@
 	if mv.Ticket != nil {
 		mv.Ticket.End(placement.Done)
 	}
-	go mo.free(ru, ru.Endpoint(), mv.Handle)
+	go mo.free(ru, mv.From, mv.Handle)
 }
 
 func (mo *Mover) free(ru *Run, source roster.Endpoint, handle string) {
@@ -141,7 +141,7 @@
 	defer mo.Turns.Announce(en.ID, 0)
 	for ctx.Err() == nil {
 		list := movable(mo.at(ev), mo.Clock.Since(notice))
-		mo.Turns.Announce(en.ID, len(list))
+		mo.Turns.Announce(en.ID, ev.untried(list))
 		if len(list) > 0 && mo.moveAll(ctx, ev, list) {
 			continue
 		}
@@ -152,6 +152,18 @@
 	}
 }
 
+// untried returns how many runs of a list were not tried yet. Others are not
+// announced: a run that can't be moved must not hold up those that can.
+func (ev *evacuation) untried(list []candidate) int {
+	count := 0
+	for _, ca := range list {
+		if ev.tries[ca.run] == 0 {
+			count++
+		}
+	}
+	return count
+}
+
 // awaitTurn waits until instances that come first have moved their runs, or
 // have had the time for it: copies of one engine queue on its link, and a run
 // that is stopped behind the copies of others pauses for as long as they take.
@@ -173,6 +185,10 @@
 // maxTries bounds the moves of one run off one engine.
 const maxTries = 24
 
+// noRunTries is what it counts when the engine does not know a run: it is over,
+// or its first token is still to come.
+const noRunTries = 6
+
 // evacuation is the state of the moves off one engine.
 type evacuation struct {
 	source roster.Endpoint
@@ -221,14 +237,14 @@
 // moveAll moves runs one after another. It returns whether any was moved.
 func (mo *Mover) moveAll(ctx context.Context, ev *evacuation, list []candidate) bool {
 	moved := false
-	for ix, ca := range list {
+	for _, ca := range list {
 		mo.awaitTurn(ctx, ev)
 		ev.tries[ca.run]++
 		if mv := mo.first(ctx, ev, ca); mv != nil {
 			moved = true
 			mo.last(ctx, ev, mv)
 		}
-		mo.Turns.Announce(ev.source.ID, len(list)-ix-1)
+		mo.Turns.Announce(ev.source.ID, ev.untried(list))
 	}
 	return moved
 }
@@ -262,6 +278,9 @@
 		}
 		mv.ticket.End(placement.Done)
 		mo.Log.Info().Str("event", "copy_failed").Str("request", ca.run.ID).Str("endpoint", ev.source.ID).Str("target", target.ID).Dur("took", took).Err(err).Msg("migration: first copy failed")
+		if errors.Is(err, ErrNoRun) {
+			ev.tries[ca.run] += noRunTries
+		}
 		if !errors.Is(err, ErrNoRoom) {
 			return nil
 		}
@@ -296,7 +315,7 @@
 	}
 	mo.Log.Info().Str("event", "moved").Str("request", mv.run.ID).Str("endpoint", en.ID).Str("target", mv.target.ID).
 		Dur("took", took).Dur("since_notice", mo.Clock.Since(notice)).Msg("migration: run stopped for its target")
-	moved := Moved{Source: en.Address, Handle: mv.handle, Target: mv.target, Ticket: mv.ticket}
+	moved := Moved{From: en, Handle: mv.handle, Target: mv.target, Ticket: mv.ticket}
 	if !mv.run.finish(&moved) {
 		mo.abandon(en, mv)
 	}
@@ -312,7 +331,7 @@
 		return
 	}
 	ti := mo.Board.Begin(en, placement.Work{})
-	if !mv.run.finish(&Moved{Source: en.Address, Handle: mv.handle, Target: en, Ticket: ti}) {
+	if !mv.run.finish(&Moved{From: en, Handle: mv.handle, Target: en, Ticket: ti}) {
 		ti.End(placement.Done)
 	}
 }
--- a/internal/migration/run.go
+++ b/internal/migration/run.go
@@ -12,8 +12,8 @@
 
 // Moved says where a run goes on.
 type Moved struct {
-	// Source is the address of the engine that made the copy.
-	Source string
+	// From is the engine that made the copy.
+	From   roster.Endpoint
 	Handle string
 	Target roster.Endpoint
 	// Ticket is the run's entry in the target's account.
@@ -112,6 +112,8 @@
 	close(ru.stopping)
 	if mv == nil {
 		ru.stopping = nil
+	} else {
+		ru.endpoint = mv.Target
 	}
 	return !ru.ended
 }
