Read a request's story from logs, and shun unreachable endpoints for 1.5 s at most

Two events of the log had the name started.

Ruled out: trying shunned endpoints when none is left: each try costs a caller up to 200 ms, and a refused caller may find another instance.

--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -53,6 +53,7 @@
 		{"cancel", "Give up a plan", &cancel{access: ac}},
 		{"status", "Show instances, zones, capacity and running plans", &status{access: ac}},
 		{"get", "Show objects of a kind", &get{access: ac}},
+		{"trace", "Show what logs say of a request of a gateway", &trace{output: ou}},
 		{"explain", "Show what was decided about a request", &explain{access: ac}},
 		{"completion", "Print a script for shell completion", &completion{output: ou}},
 	}
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -76,7 +76,7 @@
 // open begins the session of a stream whose head has come.
 func (di *Dispatcher) open(ctx context.Context, cancel context.CancelFunc, ta *task, en roster.Endpoint, re result) *session {
 	re.ticket.Started()
-	di.Log.Info().Str("event", "started").Str("request", ta.ID).Str("endpoint", en.ID).Dur("took", di.Clock.Since(ta.Arrived)).Msg("dispatch: first event came")
+	di.Log.Info().Str("event", "first_event").Str("request", ta.ID).Str("endpoint", en.ID).Dur("took", di.Clock.Since(ta.Arrived)).Msg("dispatch: first event came")
 	se := &session{di: di, ta: ta, ctx: ctx, cancel: cancel, endpoint: en, answer: re.answer, ticket: re.ticket}
 	if ta.service.Engine != nil && ta.service.Engine.Migrates && di.Runs != nil {
 		se.run = &migration.Run{
--- /dev/null
+++ b/internal/ingress/server_test.go
@@ -0,0 +1,256 @@
+package ingress
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+	"github.com/valyala/fasthttp"
+
+	"filbertstall.example/filbertstall/internal/boottime"
+	"filbertstall.example/filbertstall/internal/budget"
+	"filbertstall.example/filbertstall/internal/dispatch"
+	"filbertstall.example/filbertstall/internal/feed"
+	"filbertstall.example/filbertstall/internal/hangup"
+	"filbertstall.example/filbertstall/internal/placement"
+	"filbertstall.example/filbertstall/internal/refusal"
+	"filbertstall.example/filbertstall/internal/roster"
+	"filbertstall.example/filbertstall/internal/routing"
+	"filbertstall.example/filbertstall/internal/upstream"
+)
+
+// testCodec is a small platform.
+type testCodec struct{}
+
+func (testCodec) Request(ctx *fasthttp.RequestCtx, arrived time.Time) *dispatch.Request {
+	return &dispatch.Request{
+		ID: string(ctx.Request.Header.Peek("Id")), Method: string(ctx.Method()), Target: string(ctx.RequestURI()), Path: string(ctx.Path()),
+		Host: "h", Body: append([]byte(nil), ctx.PostBody()...), Arrived: arrived, Budget: time.Second,
+	}
+}
+
+func (testCodec) AnswerHeaders(list []upstream.Header) []upstream.Header {
+	var kept []upstream.Header
+	for _, he := range list {
+		if he.Name == "Id" {
+			kept = append(kept, he)
+		}
+	}
+	return kept
+}
+
+func (testCodec) Call(re *dispatch.Request, at dispatch.Attempt) upstream.Call {
+	return upstream.Call{Address: at.Endpoint.Address, Method: re.Method, Target: re.Target, Host: "h", ID: re.ID, Body: re.Body, Headers: []upstream.Header{{Name: "Id", Value: re.ID}}}
+}
+
+func (testCodec) Verdict(*upstream.Answer) dispatch.Verdict { return dispatch.Verdict{Genuine: true} }
+
+// endpoint answers one request by a script.
+func endpoint(t *testing.T, script func(conn net.Conn, id string)) string {
+	t.Helper()
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = ln.Close() })
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = conn.Close() }()
+				re, err := http.ReadRequest(bufio.NewReader(conn))
+				if err != nil {
+					return
+				}
+				_, _ = io.Copy(io.Discard, re.Body)
+				script(conn, re.Header.Get("Id"))
+			}()
+		}
+	}()
+	return ln.Addr().String()
+}
+
+func start(t *testing.T, address string) (*Server, string) {
+	t.Helper()
+	clock := clockwork.NewRealClock()
+	boot := &boottime.Manual{}
+	boot.Advance(time.Hour)
+	st := &routing.State{Clock: boot}
+	shares := []routing.Share{{Service: "s", Weight: 1}}
+	st.Put(routing.New(routing.Spec{Version: 1, Services: []routing.Service{{Name: "s"}}, Routes: []routing.Route{
+		{Host: "h", PathPrefix: "/stream/", Repeat: routing.Streaming, MaxAttempts: 1, Timeout: 5 * time.Second, Shares: shares},
+		{Host: "h", PathPrefix: "/", Repeat: routing.AtMostOnce, MaxAttempts: 1, Timeout: 5 * time.Second, Shares: shares},
+	}}))
+	st.Confirm(boot.Now())
+	ro := &roster.Roster{Clock: clock, Log: zerolog.Nop()}
+	if address != "" {
+		ro.Reset([]feed.Object[roster.Endpoint]{{Name: "e", Value: &roster.Endpoint{ID: "e", Service: "s", Address: address, Slots: 4}}})
+	}
+	di := &dispatch.Dispatcher{
+		State: st, Roster: ro, Board: &placement.Board{Clock: clock}, Budget: &budget.Window{Clock: clock, Span: time.Minute}, Codec: testCodec{},
+		Sender: &upstream.Pool{IDHeader: "Id", Clock: clock}, Clock: clock, Log: zerolog.Nop(), Members: func() int { return 1 },
+		Ages: func() dispatch.Ages { return dispatch.Ages{Key: time.Hour, Deny: time.Hour} },
+	}
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	hangups := &hangup.Watcher{Clock: clock, Interval: 10 * time.Millisecond}
+	se := &Server{Listener: ln, Codec: testCodec{}, Dispatcher: di, Hangups: hangups, Clock: clock, Log: zerolog.Nop()}
+	se.Prepare()
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go func() { _ = hangups.Run(ctx) }()
+	go func() { _ = se.Run(ctx) }()
+	return se, "http://" + ln.Addr().String()
+}
+
+func answer(conn net.Conn, id string) {
+	_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: "+id+"\r\nServer-Only: x\r\nContent-Length: 4\r\n\r\nbody")
+}
+
+func get(t *testing.T, url string) (*http.Response, string, error) {
+	t.Helper()
+	re, err := http.NewRequest(http.MethodPost, url, strings.NewReader("b"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	re.Header.Set("Id", "7")
+	resp, err := http.DefaultClient.Do(re)
+	if err != nil {
+		return nil, "", err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	return resp, string(body), err
+}
+
+func TestAnswerIsPassedOn(t *testing.T) {
+	g := NewWithT(t)
+	_, url := start(t, endpoint(t, answer))
+	resp, body, err := get(t, url+"/x")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(resp.StatusCode).To(Equal(200))
+	g.Expect(body).To(Equal("body"))
+	g.Expect(resp.Header.Get("Id")).To(Equal("7"))
+	g.Expect(resp.Header).NotTo(HaveKey("Server-Only"))
+	g.Expect(resp.Header).NotTo(HaveKey("Server"))
+}
+
+func TestRefusalTellsWhenToComeBack(t *testing.T) {
+	g := NewWithT(t)
+	_, url := start(t, "")
+	resp, _, err := get(t, url+"/x")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(resp.StatusCode).To(Equal(http.StatusServiceUnavailable))
+	g.Expect(resp.Header.Get("Retry-After")).To(Equal("0.250"))
+}
+
+// A status that promises that nothing ran is used only where that is proved.
+func TestPromisedStatus(t *testing.T) {
+	for reason := range refusal.Table {
+		for _, dispatched := range []bool{false, true} {
+			er := refusal.New(reason, "")
+			er.Dispatched = dispatched
+			var ctx fasthttp.RequestCtx
+			refuse(&ctx, &dispatch.Request{}, er)
+			if promises(ctx.Response.StatusCode()) && er.Rule().Outcome != refusal.NotRun {
+				t.Errorf("%s, dispatched %v: status %d promises too much", reason, dispatched, ctx.Response.StatusCode())
+			}
+			if !promises(ctx.Response.StatusCode()) && len(ctx.Response.Header.Peek("Retry-After")) > 0 {
+				t.Errorf("%s: a pause for a request that may have run", reason)
+			}
+		}
+	}
+}
+
+func TestPauseLeavesTimeForTheAnswer(t *testing.T) {
+	g := NewWithT(t)
+	g.Expect(retryAfter(&dispatch.Request{Budget: 400 * time.Millisecond}, time.Second)).To(Equal(100 * time.Millisecond))
+	g.Expect(retryAfter(&dispatch.Request{}, time.Second)).To(Equal(time.Second))
+}
+
+// A stream that breaks must not look complete.
+func TestBrokenStreamEndsWithoutItsEnd(t *testing.T) {
+	g := NewWithT(t)
+	_, url := start(t, endpoint(t, func(conn net.Conn, id string) {
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: "+id+"\r\nTransfer-Encoding: chunked\r\n\r\n10\r\nid: 1\ndata: ab\n\n\r\n")
+	}))
+	_, body, err := get(t, url+"/stream/x")
+	g.Expect(errors.Is(err, io.ErrUnexpectedEOF)).To(BeTrue(), "%v", err)
+	g.Expect(body).To(Equal("id: 1\ndata: ab\n\n"))
+}
+
+// A caller that hangs up ends the work at the endpoint.
+func TestCallerThatLeaves(t *testing.T) {
+	for _, path := range []string{"/x", "/stream/x"} {
+		t.Run(path, func(t *testing.T) {
+			g := NewWithT(t)
+			began, ended := make(chan struct{}), make(chan struct{})
+			se, url := start(t, endpoint(t, func(conn net.Conn, id string) {
+				if path != "/x" {
+					_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: "+id+"\r\nTransfer-Encoding: chunked\r\n\r\n10\r\nid: 1\ndata: ab\n\n\r\n")
+				}
+				close(began)
+				_, _ = conn.Read(make([]byte, 1))
+				close(ended)
+			}))
+			conn, err := net.Dial("tcp4", strings.TrimPrefix(url, "http://"))
+			g.Expect(err).NotTo(HaveOccurred())
+			_, err = io.WriteString(conn, "POST "+path+" HTTP/1.1\r\nHost: h\r\nId: 7\r\nContent-Length: 0\r\n\r\n")
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Eventually(began, "5s").Should(BeClosed())
+			g.Expect(conn.Close()).To(Succeed())
+			g.Eventually(ended, "5s").Should(BeClosed())
+			g.Eventually(se.Open, "5s").Should(BeZero())
+		})
+	}
+}
+
+// A stop lets open answers end, and asks callers to connect anew.
+func TestStop(t *testing.T) {
+	g := NewWithT(t)
+	release := make(chan struct{})
+	se, url := start(t, endpoint(t, func(conn net.Conn, id string) {
+		<-release
+		answer(conn, id)
+	}))
+	type result struct {
+		resp *http.Response
+		body string
+	}
+	got := make(chan result, 1)
+	go func() {
+		resp, body, _ := get(t, url+"/x")
+		got <- result{resp, body}
+	}()
+	g.Eventually(se.Open, "5s").Should(Equal(1))
+	se.Announce()
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		se.Stop(ctx)
+	}()
+	close(release)
+	var re result
+	g.Eventually(got, "5s").Should(Receive(&re))
+	g.Expect(re.body).To(Equal("body"))
+	g.Expect(re.resp.Close).To(BeTrue())
+	g.Eventually(stopped, "5s").Should(BeClosed())
+	_, _, err := get(t, url+"/x")
+	g.Expect(err).To(HaveOccurred())
+}
--- a/internal/placement/account.go
+++ b/internal/placement/account.go
@@ -42,7 +42,7 @@
 const (
 	failureHalfLife = 2 * time.Second
 	firstShun       = 400 * time.Millisecond
-	lastShun        = 4 * time.Second
+	lastShun        = 1500 * time.Millisecond
 )
 
 // weight is how much one outcome adds to the average of failures.
--- a/internal/placement/board_test.go
+++ b/internal/placement/board_test.go
@@ -105,13 +105,13 @@
 }
 
 // Pattern: an endpoint is down or cut off. It is left alone for a pause that
-// doubles, and tried again.
+// doubles up to a bound, and tried again.
 func TestUnreachableEndpointsAreShunned(t *testing.T) {
 	g := NewWithT(t)
 	clock := clockwork.NewFakeClock()
 	bo := newBoard(clock)
 	list := endpoints("a")
-	for _, pause := range []time.Duration{firstShun, 2 * firstShun, 4 * firstShun} {
+	for _, pause := range []time.Duration{firstShun, 2 * firstShun, lastShun, lastShun} {
 		bo.Begin(list[0], Work{}).End(Unreachable)
 		clock.Advance(pause - time.Millisecond)
 		_, found := bo.Choose(list, Work{}, nil)
--- /dev/null
+++ b/internal/trace/trace_test.go
@@ -0,0 +1,64 @@
+package trace
+
+import (
+	"strings"
+	"testing"
+
+	. "github.com/onsi/gomega"
+)
+
+const logs = `   1.2 edge-1 {"level":"info","instance":"edge-1","event":"placed","request":"r1","endpoint":"e1","time":5000}
+not a line
+{"level":"info","instance":"edge-1","event":"endpoint_leaves","endpoint":"e1","time":6000}
+{"level":"info","instance":"edge-2","event":"endpoint_leaves","endpoint":"e1","time":6001}
+{"level":"info","instance":"edge-1","event":"endpoint_leaves","endpoint":"e7","time":6002}
+{"level":"info","instance":"edge-1","event":"copy_failed","request":"r1","endpoint":"e1","target":"e2","error":"no room","time":6500}
+{"level":"info","instance":"edge-1","event":"stream_broken","request":"r1","endpoint":"e1","cause":"unexpected EOF","time":7600}
+{"level":"warn","instance":"edge-1","event":"dependency_lost","kind":"configuration","time":8000}
+{"level":"info","instance":"edge-1","event":"refused","request":"r2","reason":"stale_configuration","outcome":"not_run","detail":"the store has not confirmed keys for 4.8s","time":9000}
+{"level":"info","instance":"edge-1","event":"refused","request":"r3","reason":"timed_out","outcome":"unknown","detail":"no answer within 800ms","time":9100}
+{"level":"info","instance":"edge-1","event":"attempt_failed","request":"r3","endpoint":"e5","how":"failed_there","time":9000}
+`
+
+// The three walks of docs/OPERATIONS.md: a stream that was cut, a booking that
+// was refused, a read that was late.
+func TestWalks(t *testing.T) {
+	for _, ca := range []struct {
+		request string
+		events  []string
+		cause   string
+	}{
+		{"r1", []string{"placed", "endpoint_leaves", "copy_failed", "stream_broken"}, "The stream broke at e1: unexpected EOF; the endpoint had left 1600 ms before; a move to e2 failed: no room."},
+		{"r2", []string{"dependency_lost", "refused"}, "The instance refused it: stale_configuration (not_run); the store has not confirmed keys for 4.8s."},
+		{"r3", []string{"dependency_lost", "attempt_failed", "refused"}, "The instance refused it: timed_out (unknown); no answer within 800ms."},
+		{"r9", nil, "The logs do not say how it ended; a plain call that was answered has no line."},
+	} {
+		t.Run(ca.request, func(t *testing.T) {
+			g := NewWithT(t)
+			st, err := Read(strings.NewReader(logs), ca.request)
+			g.Expect(err).NotTo(HaveOccurred())
+			var events []string
+			for _, li := range st.Lines {
+				events = append(events, li.Event)
+			}
+			g.Expect(events).To(HaveExactElements(ca.events))
+			g.Expect(st.Cause()).To(Equal(ca.cause))
+		})
+	}
+}
+
+func TestLineForAPerson(t *testing.T) {
+	li, found := parse([]byte(`{"instance":"i","event":"refused","reason":"timed_out","time":1000}`))
+	g := NewWithT(t)
+	g.Expect(found).To(BeTrue())
+	g.Expect(li.String()).To(Equal("00:00:01.000 i refused reason=timed_out"))
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(`x {"event":"refused","time":1}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		if li, found := parse(data); found && li.Event == "" {
+			t.Error("a line without an event")
+		}
+	})
+}
