Follow readers of other zones where the store turns an instance away

Ruled out: following without the configuration: keys are taken away just then, and a proof of a version that one lacks proves nothing; so the text is handed on.

A field for standby copies that nothing used is gone.

--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -52,7 +52,7 @@
 		Adapter: gw.Adapter{
 			Endpoints: platform.Endpoints(store), Configurations: platform.Configurations(store), Evacuations: platform.Evacuations(store),
 			Members: platform.Members(store), Registry: store,
-			ConfigurationName: platform.ConfigurationName, Codec: platform.Codec{}, IDHeader: platform.IDHeader, ReadyPath: platform.ReadyPath, Relocate: store.Relocate,
+			ConfigurationName: platform.ConfigurationName, DecodeConfiguration: platform.DecodeConfiguration, Codec: platform.Codec{}, IDHeader: platform.IDHeader, ReadyPath: platform.ReadyPath, Relocate: store.Relocate,
 			Engines: func(se dispatch.Sender) migration.Engines { return platform.Engines{Sender: se} },
 		},
 	}
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -69,9 +69,6 @@
 	PassCredential bool
 	// Resume is nil for a run from the start.
 	Resume *Resume
-	// Standby is the address of the endpoint that keeps a copy of the run's
-	// memory as it grows; empty means none.
-	Standby string
 	// MaxIdle is how long the connection may have been idle.
 	MaxIdle time.Duration
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -48,7 +48,9 @@
 	Registry       Registry
 	// ConfigurationName is the name of the object with the configuration.
 	ConfigurationName string
-	Codec             Codec
+	// DecodeConfiguration reads a configuration that another instance handed on.
+	DecodeConfiguration func(source []byte) (*routing.Configuration, error)
+	Codec               Codec
 	// Engines gives orders by a sender.
 	Engines func(dispatch.Sender) migration.Engines
 	// IDHeader is the header field in which endpoints repeat a request's ID.
@@ -267,7 +269,7 @@
 		exchange, peers, gw.suspects,
 		&relay.Switch{
 			Log: &gw.relay, Caller: &peer.Client{}, Self: se.Instance, Zone: se.Zone, Members: &gw.members, Alive: exchange.Heard,
-			Configuration: gw.followConfiguration(), Others: gw.followOthers(), Fetch: gw.fetchConfiguration,
+			Configuration: gw.followConfiguration(), Others: gw.followOthers(), Fetch: gw.fetchConfiguration, Decode: gw.Adapter.DecodeConfiguration,
 			Roster: &gw.roster, State: &gw.state, Clock: gw.Clock, Boot: gw.Boot, Logger: gw.Log,
 		},
 	}
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -214,6 +214,23 @@
 // maxWait bounds the wait that a query may ask for.
 const maxWait = 2 * time.Second
 
+// None is the argument of calls that need none.
+type None struct{}
+
+// Text is a configuration as the store has it.
+type Text struct {
+	Version int64
+	Source  []byte
+}
+
+// Configuration returns the configuration in force.
+func (se *Service) Configuration(_ None, te *Text) error {
+	if cf := se.lo.State.Load(); cf != nil {
+		te.Version, te.Source = cf.Version, cf.Source()
+	}
+	return nil
+}
+
 // Watch answers a query.
 func (se *Service) Watch(qu Query, up *Update) error {
 	qu.Wait = min(qu.Wait, maxWait)
--- a/internal/relay/reader.go
+++ b/internal/relay/reader.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -29,3 +30,20 @@
 		return cmp.Compare(xxhash.Sum64String(a.Name), xxhash.Sum64String(b.Name))
 	}), true
 }
+
+// readersOf returns the readers of the other zones, by the names of the zones.
+func readersOf(list []loadshare.Member, self, zone string, alive func(name string) bool) []loadshare.Member {
+	zones := make(map[string]bool)
+	for _, me := range list {
+		if me.Zone != zone {
+			zones[me.Zone] = true
+		}
+	}
+	var readers []loadshare.Member
+	for _, other := range slices.Sorted(maps.Keys(zones)) {
+		if me, found := readerOf(list, self, other, alive); found {
+			readers = append(readers, me)
+		}
+	}
+	return readers
+}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -173,12 +173,12 @@
 	begun := no.boot.Now()
 	no.boot.Advance(1200 * time.Millisecond) // of these the reader held the call for 1 s
 	up := Update{Version: 3, ConfigurationAge: 300 * time.Millisecond, Held: time.Second}
-	g.Expect(sw.confirm(context.Background(), up, begun)).To(Succeed())
+	g.Expect(sw.confirm(context.Background(), loadshare.Member{}, up, begun)).To(Succeed())
 	g.Expect(fetched).To(Equal(1), "a version that is not known is read from the store")
 	age, proven := no.state.Age()
 	g.Expect(proven).To(BeTrue())
 	g.Expect(age).To(Equal(500*time.Millisecond), "300 ms at the reader and at most 200 ms on the way")
-	g.Expect(sw.confirm(context.Background(), up, begun)).To(Succeed())
+	g.Expect(sw.confirm(context.Background(), loadshare.Member{}, up, begun)).To(Succeed())
 	g.Expect(fetched).To(Equal(1))
 }
 
@@ -189,11 +189,12 @@
 	no := newNode()
 	no.state.Put(routing.New(routing.Spec{Version: 2}))
 	sw := &Switch{State: &no.state, Boot: no.boot, Fetch: func(context.Context) error { return nil }}
-	g.Expect(sw.confirm(context.Background(), Update{Version: 3}, no.boot.Now())).To(Succeed())
+	g.Expect(sw.confirm(context.Background(), loadshare.Member{}, Update{Version: 3}, no.boot.Now())).To(Succeed())
 	_, proven := no.state.Age()
 	g.Expect(proven).To(BeFalse())
 	sw.Fetch = func(context.Context) error { return errors.New("cut off") }
-	g.Expect(sw.confirm(context.Background(), Update{Version: 3}, no.boot.Now())).NotTo(Succeed())
+	sw.Caller = &caller{fail: errors.New("cut off, too")}
+	g.Expect(sw.confirm(context.Background(), loadshare.Member{}, Update{Version: 3}, no.boot.Now())).NotTo(Succeed())
 }
 
 // caller lets a switch talk to a reader's log, or fail.
@@ -216,6 +217,9 @@
 	if fail != nil {
 		return fail
 	}
+	if te, isText := reply.(*Text); isText {
+		return ca.log.Service().Configuration(None{}, te)
+	}
 	qu, _ := args.(Query)
 	up, _ := reply.(*Update)
 	qu.Wait = 5 * time.Millisecond
@@ -281,3 +285,36 @@
 	g.Expect(configuration.count()).To(Equal(1))
 	g.Expect(no.ask(Query{}).Direct).To(BeTrue())
 }
+
+// An instance that the store turns away, while it answers a reader in another
+// zone, goes on with what that one knows (incident inc-c707).
+func TestSwitchAsksOtherZonesWhenTheStoreTurnsItAway(t *testing.T) {
+	g := NewWithT(t)
+	reader, no := newNode(), newNode()
+	reader.state.Put(routing.New(routing.Spec{Version: 2, Source: []byte("version 2")}))
+	reader.put("e1")
+	reader.state.Confirm(reader.boot.Now())
+	reader.log.Contact(reader.boot.Now())
+	reader.log.SetDirect(true)
+	no.state.Put(routing.New(routing.Spec{Version: 1}))
+	no.state.Confirm(no.boot.Now() - awayAge - time.Second)
+	members := &loadshare.Members{}
+	members.Set([]loadshare.Member{{Name: "self", Zone: "a"}, {Name: "reader", Zone: "b"}})
+	silent := &counting{}
+	sw := &Switch{
+		Log: &no.log, Caller: &caller{log: &reader.log}, Self: "self", Zone: "a", Members: members, Alive: func(string) bool { return true },
+		Configuration: silent, Roster: &no.roster, State: &no.state, Clock: clockwork.NewRealClock(), Boot: no.boot, Logger: zerolog.Nop(),
+		Fetch: func(context.Context) error { return errors.New("turned away") },
+		Decode: func(source []byte) (*routing.Configuration, error) {
+			g.Expect(string(source)).To(Equal("version 2"))
+			return routing.New(routing.Spec{Version: 2, Source: source}), nil
+		},
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() { _ = sw.Run(ctx) }()
+	g.Eventually(func() int { return len(no.roster.View().Ready("s")) }, "8s").Should(Equal(1))
+	g.Eventually(func() time.Duration { age, _ := no.state.Age(); return age }, "5s").Should(BeNumerically("<", awayAge))
+	g.Expect(silent.count()).To(BeNumerically(">=", 1), "the store is tried first")
+	g.Expect(no.state.Load().Version).To(Equal(int64(2)), "with the configuration that the reader has")
+}
--- a/internal/relay/switch.go
+++ b/internal/relay/switch.go
@@ -32,6 +32,11 @@
 	// it knows no more than the store will tell.
 	maxConfigurationAge = 2500 * time.Millisecond
 	maxEndpointsAge     = 6 * time.Second
+	// awayAge is the age of its own proof from which an instance asks readers of
+	// other zones, and abroadTime how long it stays with them before it tries the
+	// store again.
+	awayAge    = 2200 * time.Millisecond
+	abroadTime = 4 * time.Second
 )
 
 // Switch reads the store through a reader where there is one, and directly
@@ -50,7 +55,9 @@
 	Configuration controller.Controller
 	Others        []controller.Controller
 	// Fetch reads the configuration from the store.
-	Fetch  func(ctx context.Context) error
+	Fetch func(ctx context.Context) error
+	// Decode reads a configuration that a reader handed on.
+	Decode func(source []byte) (*routing.Configuration, error)
 	Roster *roster.Roster
 	State  *routing.State
 	Clock  clockwork.Clock
@@ -70,7 +77,7 @@
 	for ctx.Err() == nil {
 		me, found := sw.reader()
 		if found {
-			err := sw.follow(ctx, me)
+			err := sw.follow(ctx, me, true)
 			if ctx.Err() != nil {
 				break
 			}
@@ -81,10 +88,33 @@
 			sw.Logger.Info().Str("event", "reader_left").Str("reader", me.Name).Err(err).Msg("relay: reading the store directly")
 		}
 		sw.direct(ctx, directTime)
+		if sw.turnedAway() {
+			sw.abroad(ctx)
+		}
 	}
 	return nil
 }
 
+// turnedAway tells whether the store has not answered this instance for a time.
+func (sw *Switch) turnedAway() bool {
+	age, proven := sw.State.Age()
+	return proven && age > awayAge
+}
+
+// abroad follows readers of other zones for a time: the store may turn this
+// instance away and answer others. They know no more if it answers nobody.
+func (sw *Switch) abroad(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, abroadTime)
+	defer cancel()
+	for _, me := range readersOf(sw.Members.List(), sw.Self, sw.Zone, sw.Alive) {
+		if ctx.Err() != nil {
+			return
+		}
+		err := sw.follow(ctx, me, false)
+		sw.Logger.Info().Str("event", "reader_left").Str("reader", me.Name).Bool("abroad", true).Err(err).Msg("relay: reading the store directly")
+	}
+}
+
 // starting tells whether all instances may be starting together.
 func (sw *Switch) starting() bool { return sw.Clock.Since(sw.started) < startTime }
 
@@ -98,7 +128,8 @@
 	return me, found && me.Name != sw.Self
 }
 
-// direct follows the store until there is a reader, for least at least.
+// direct follows the store until there is a reader, for least at least, or
+// until the store has not answered for a time.
 func (sw *Switch) direct(ctx context.Context, least time.Duration) {
 	sw.Log.SetDirect(true)
 	defer sw.Log.SetDirect(false)
@@ -115,6 +146,9 @@
 	begun := sw.Clock.Now()
 	for ctx.Err() == nil {
 		sw.pause(ctx, lookInterval)
+		if sw.turnedAway() && sw.Clock.Since(begun) >= lookInterval {
+			break
+		}
 		if _, found := sw.reader(); found && sw.Clock.Since(begun) >= least {
 			break
 		}
@@ -164,8 +198,9 @@
 	errReplaced  = errors.New("relay: another instance reads for the zone")
 )
 
-// follow takes in what a reader knows until it fails.
-func (sw *Switch) follow(ctx context.Context, me loadshare.Member) error {
+// follow takes in what a reader knows until it fails. With own it is the reader
+// of this zone, and is left for another that should be.
+func (sw *Switch) follow(ctx context.Context, me loadshare.Member, own bool) error {
 	sw.Logger.Info().Str("event", "reader_followed").Str("reader", me.Name).Msg("relay: following a reader")
 	var qu Query
 	for ctx.Err() == nil {
@@ -179,11 +214,11 @@
 			return err
 		}
 		sw.apply(up)
-		if err := sw.confirm(ctx, up, begun); err != nil {
+		if err := sw.confirm(ctx, me, up, begun); err != nil {
 			return err
 		}
 		qu.Epoch, qu.Sequence = up.Epoch, up.Sequence
-		if other, found := sw.reader(); !found || other.Name != me.Name {
+		if other, found := sw.reader(); own && (!found || other.Name != me.Name) {
 			return errReplaced
 		}
 	}
@@ -232,18 +267,44 @@
 // confirm takes over the reader's proof, once this instance has the version
 // that it speaks of. The proof is as old as the reader said when it answered,
 // which was no sooner than the call's begin and the time that it held the call.
-func (sw *Switch) confirm(ctx context.Context, up Update, begun time.Duration) error {
-	if cf := sw.State.Load(); cf == nil || cf.Version < up.Version {
-		if err := sw.Fetch(ctx); err != nil {
+func (sw *Switch) confirm(ctx context.Context, me loadshare.Member, up Update, begun time.Duration) error {
+	if !sw.has(up.Version) && sw.Fetch(ctx) != nil && !sw.has(up.Version) {
+		if err := sw.handedOn(ctx, me); err != nil {
 			return err
 		}
 	}
-	if cf := sw.State.Load(); cf != nil && cf.Version >= up.Version {
+	if sw.has(up.Version) {
 		sw.State.Confirm(begun + up.Held - up.ConfigurationAge)
 	}
 	return nil
 }
 
+// has tells whether a version or a newer one is in force.
+func (sw *Switch) has(version int64) bool {
+	cf := sw.State.Load()
+	return cf != nil && cf.Version >= version
+}
+
+// handedOn takes the configuration from a reader, where the store does not
+// answer this instance.
+func (sw *Switch) handedOn(ctx context.Context, me loadshare.Member) error {
+	ctx, cancel := context.WithTimeout(ctx, watchWait+answerTime)
+	defer cancel()
+	var te Text
+	if err := sw.Caller.Call(ctx, me.Address.String(), ServiceName+".Configuration", None{}, &te); err != nil {
+		return err
+	}
+	cf, err := sw.Decode(te.Source)
+	if err != nil {
+		return err
+	}
+	if sw.State.Put(cf) {
+		sw.Logger.Info().Str("event", "configuration").Int64("version", cf.Version).Str("reader", me.Name).Msg("relay: configuration in force, from a reader")
+		sw.Log.Observe()
+	}
+	return nil
+}
+
 func (sw *Switch) pause(ctx context.Context, pause time.Duration) {
 	select {
 	case <-ctx.Done():
--- a/internal/routing/configuration.go
+++ b/internal/routing/configuration.go
@@ -120,6 +120,7 @@
 	teams    map[string]Team // by key
 	teamed   bool
 	limits   Limits
+	source   []byte
 }
 
 // Spec is what a Configuration is made from.
@@ -129,4 +130,7 @@
 	Services []Service
 	Teams    []Team
 	Limits   Limits
+	// Source is the text that it was read from, to be handed on to instances
+	// that can't reach the store.
+	Source []byte
 }
--- a/internal/routing/match.go
+++ b/internal/routing/match.go
@@ -11,7 +11,7 @@
 // New indexes a specification.
 func New(sp Spec) *Configuration {
 	cf := &Configuration{
-		Version: sp.Version, limits: sp.Limits, teamed: len(sp.Teams) > 0,
+		Version: sp.Version, limits: sp.Limits, source: sp.Source, teamed: len(sp.Teams) > 0,
 		routes: make(map[string][]Route), services: make(map[string]Service), teams: make(map[string]Team),
 	}
 	for _, ro := range sp.Routes {
@@ -72,6 +72,10 @@
 	return se, found
 }
 
+// Source returns the text that the configuration was read from. It must not be
+// changed.
+func (cf *Configuration) Source() []byte { return cf.source }
+
 // Limits returns the bounds on what callers send.
 func (cf *Configuration) Limits() Limits { return cf.limits }
 
