Divide the budget for repeats by the instances that there are

Cause: each instance took a twelfth of the shared extra repeats, whatever their number: 88 instances could have made 1,267 in a window that allows 216.

Ruled out: asking before each repeat; the parts are known without it.

Large files of the gateway and of migration are split by job.

--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -5,7 +5,7 @@
 //
 // # Usage
 //
-//	bu := &budget.Window{Clock: clock, Span: 10 * time.Second, Ratio: 0.2, Extra: 4}
+//	bu := &budget.Window{Clock: clock, Span: 10 * time.Second, Ratio: 0.2, Extra: part}
 //	bu.Arrived("rental-desk")
 //	if bu.Take("rental-desk") { ... send again ... }
 package budget
@@ -25,8 +25,9 @@
 	Span time.Duration
 	// Ratio is how many repeats each request allows.
 	Ratio float64
-	// Extra is how many repeats a window allows beside.
-	Extra float64
+	// Extra returns how many repeats a window allows beside: the instance's part
+	// of what all may make, which changes with their number.
+	Extra func() float64
 
 	mu       sync.Mutex
 	services map[string]*ledger
@@ -51,7 +52,7 @@
 	wi.mu.Lock()
 	defer wi.mu.Unlock()
 	le := wi.ledger(service)
-	if float64(len(le.repeats)+1) > wi.Ratio*float64(len(le.requests))+wi.Extra {
+	if float64(len(le.repeats)+1) > wi.Ratio*float64(len(le.requests))+wi.Extra() {
 		return false
 	}
 	le.repeats = append(le.repeats, wi.Clock.Now())
--- a/internal/budget/budget_test.go
+++ b/internal/budget/budget_test.go
@@ -17,7 +17,7 @@
 
 func TestServicesHaveBudgetsOfTheirOwn(t *testing.T) {
 	g := NewWithT(t)
-	wi := &Window{Clock: clockwork.NewFakeClock(), Span: 10 * time.Second, Extra: 1}
+	wi := &Window{Clock: clockwork.NewFakeClock(), Span: 10 * time.Second, Extra: func() float64 { return 1 }}
 	g.Expect(wi.Take("a")).To(BeTrue())
 	g.Expect(wi.Take("a")).To(BeFalse())
 	g.Expect(wi.Take("b")).To(BeTrue())
@@ -34,7 +34,7 @@
 	)
 	rapid.Check(t, func(rt *rapid.T) {
 		clock := clockwork.NewFakeClock()
-		wi := &Window{Clock: clock, Span: span, Ratio: ratio, Extra: extra}
+		wi := &Window{Clock: clock, Span: span, Ratio: ratio, Extra: func() float64 { return extra }}
 		var requests, repeats []time.Time
 		for range rapid.IntRange(50, 400).Draw(rt, "steps") {
 			clock.Advance(time.Duration(rapid.IntRange(0, 300).Draw(rt, "pause")) * time.Millisecond)
@@ -64,3 +64,13 @@
 	}
 	return count
 }
+
+// The parts of all instances add up to the shared budget, also when more join.
+func TestPartShrinksAsInstancesJoin(t *testing.T) {
+	g := NewWithT(t)
+	part := 2.0
+	wi := &Window{Clock: clockwork.NewFakeClock(), Span: 10 * time.Second, Extra: func() float64 { return part }}
+	g.Expect(wi.Take("s")).To(BeTrue())
+	part = 1
+	g.Expect(wi.Take("s")).To(BeFalse())
+}
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -74,7 +74,7 @@
 	g := NewWithT(t)
 	wo := newWorld(t, succeeds, succeeds)
 	wo.rankFirst()
-	wo.Budget.Extra = 0
+	wo.Budget.Extra = func() float64 { return 0 }
 	g.Expect(wo.replicas[0].Close()).To(Succeed())
 	rp := wo.send("/post/")
 	g.Expect(rp.Status).To(Equal(200))
--- a/internal/gateway/bound.go
+++ b/internal/gateway/bound.go
@@ -18,9 +18,10 @@
 	// budgetShare is how much of the shared budget for repeats is used: a share
 	// is kept for what instances count differently.
 	budgetShare = 0.8
-	// assumedMembers is how many instances share bounds where they are not
-	// counted.
-	assumedMembers = 12
+	// assumedMembers is how many instances are taken to share bounds as long as
+	// they are not known: a part that is too small costs some repeats, one that is
+	// too large breaks the bound.
+	assumedMembers = 100
 	defaultSpan    = 10 * time.Second
 )
 
@@ -40,13 +41,14 @@
 	return 2 * se.ConfigurationBound
 }
 
-// budget returns this instance's part of the budget for repeats.
-func (se Settings) budget(clock clockwork.Clock) *budget.Window {
+// budget returns this instance's part of the budget for repeats; members counts
+// the instances that share it.
+func (se Settings) budget(clock clockwork.Clock, members func() int) *budget.Window {
 	span := se.RetrySpan
 	if span == 0 {
 		span = defaultSpan
 	}
 	return &budget.Window{
-		Clock: clock, Span: span, Ratio: budgetShare * se.RetryRatio, Extra: budgetShare * se.RetryExtra / assumedMembers,
+		Clock: clock, Span: span, Ratio: budgetShare * se.RetryRatio, Extra: func() float64 { return budgetShare * se.RetryExtra / float64(members()) },
 	}
 }
--- /dev/null
+++ b/internal/gateway/listen.go
@@ -0,0 +1,41 @@
+package gateway
+
+import (
+	"net"
+	"net/netip"
+)
+
+// listeners are the open listeners of an instance.
+type listeners struct {
+	callers, readiness, metrics net.Listener
+	// peers is nil if the instance tells and hears no others.
+	peers *net.UDPConn
+	// calls takes calls of other instances, at the same address.
+	calls net.Listener
+}
+
+func (gw *Gateway) listen() (li listeners, err error) {
+	if li.callers, err = net.Listen("tcp4", gw.Settings.Callers); err != nil {
+		return li, err
+	}
+	if li.readiness, err = net.Listen("tcp4", gw.Settings.Readiness); err != nil {
+		return li, err
+	}
+	if gw.Settings.Metrics != "" {
+		if li.metrics, err = net.Listen("tcp4", gw.Settings.Metrics); err != nil {
+			return li, err
+		}
+	}
+	if gw.Settings.Peers == "" {
+		return li, nil
+	}
+	address, err := netip.ParseAddrPort(gw.Settings.Peers)
+	if err != nil {
+		return li, err
+	}
+	if li.peers, err = net.ListenUDP("udp4", net.UDPAddrFromAddrPort(address)); err != nil {
+		return li, err
+	}
+	li.calls, err = net.Listen("tcp4", gw.Settings.Peers)
+	return li, err
+}
--- /dev/null
+++ b/internal/migration/evacuation.go
@@ -0,0 +1,56 @@
+package migration
+
+import (
+	"context"
+	"time"
+
+	"filbertstall.example/filbertstall/internal/roster"
+)
+
+// maxTries bounds the moves of one run off one engine.
+const maxTries = 24
+
+// noRunTries is what it counts when the engine does not know a run: it is over,
+// or its first token is still to come.
+const noRunTries = 6
+
+// evacuation is the state of the moves off one engine.
+type evacuation struct {
+	source roster.Endpoint
+	notice time.Time
+	tries  map[*Run]int
+	// full are the engines that could not take a copy.
+	full map[string]bool
+	// announced tells that other instances had the time to hear of the moves.
+	announced bool
+}
+
+// untried returns how many runs of a list were not tried yet. Others are not
+// announced: a run that can't be moved must not hold up those that can.
+func (ev *evacuation) untried(list []candidate) int {
+	count := 0
+	for _, ca := range list {
+		if ev.tries[ca.run] == 0 {
+			count++
+		}
+	}
+	return count
+}
+
+// awaitTurn waits until instances that come first have moved their runs, or
+// have had the time for it: copies of one engine queue on its link, and a run
+// that is stopped behind the copies of others pauses for as long as they take.
+func (mo *Mover) awaitTurn(ctx context.Context, ev *evacuation) {
+	if !ev.announced {
+		ev.announced = true
+		mo.sleep(ctx, announceTime)
+	}
+	begun := mo.Clock.Now()
+	for ctx.Err() == nil {
+		ahead := mo.Turns.Ahead(ev.source.ID)
+		if ahead == 0 || mo.Clock.Since(begun) >= turnBound(ahead) || mo.Clock.Since(ev.notice) >= lastTurn {
+			return
+		}
+		mo.sleep(ctx, turnInterval)
+	}
+}
