Make refusals by their constructors

Cause: TestEveryRefusalHasItsProof reads the source for refusal.New and Wrap and did not see StaleConfiguration, which was made as a literal.

Ruled out: teaching the test literals; constructors were the house rule.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -123,8 +123,7 @@
 	if ta.arrivals < maxArrivals && ta.left(di.Clock.Now()) > leastLeft && di.Budget.Take(ta.service.Name) {
 		return result{step: again}
 	}
-	er := refusal.New(refusal.EndpointRefused, "endpoints did not take the request")
-	er.RetryAfter = busyRetryAfter
+	er := refusal.New(refusal.EndpointRefused, "endpoints did not take the request").WithRetryAfter(busyRetryAfter)
 	er.Dispatched = ta.ran > 0
 	return result{step: giveUp, refusal: er}
 }
@@ -154,8 +153,7 @@
 }
 
 func (di *Dispatcher) unsent(ta *task, err error) *refusal.Error {
-	er := refusal.Wrap(refusal.EndpointRefused, "no endpoint can be reached", err)
-	er.RetryAfter = busyRetryAfter
+	er := refusal.Wrap(refusal.EndpointRefused, "no endpoint can be reached", err).WithRetryAfter(busyRetryAfter)
 	er.Dispatched = ta.ran > 0
 	return er
 }
@@ -163,7 +161,7 @@
 // ended is the refusal of a request whose context ended.
 func (di *Dispatcher) ended(ctx context.Context, ta *task, err error) *refusal.Error {
 	if context.Cause(ctx) != nil && !errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
-		return &refusal.Error{Reason: refusal.CallerGone, Detail: "the caller left", Dispatched: true, Err: err}
+		return refusal.Wrap(refusal.CallerGone, "the caller left", err).WithDispatched()
 	}
 	return refusal.Wrap(refusal.TimedOut, "no answer within "+boundOf(ta.route.Timeout, ta.Budget).String(), err)
 }
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -96,7 +96,7 @@
 	cf := di.State.Load()
 	age, proven := di.State.Age()
 	if cf == nil || !proven {
-		return nil, &refusal.Error{Reason: refusal.NoConfiguration, Detail: "no configuration is known yet", RetryAfter: startRetryAfter}
+		return nil, refusal.New(refusal.NoConfiguration, "no configuration is known yet").WithRetryAfter(startRetryAfter)
 	}
 	route, found := cf.Match(re.Host, re.Path)
 	if !found {
@@ -140,10 +140,8 @@
 }
 
 func (di *Dispatcher) stale(age time.Duration, what string) *refusal.Error {
-	return &refusal.Error{
-		Reason: refusal.StaleConfiguration, RetryAfter: staleRetryAfter,
-		Detail: "the store has not confirmed " + what + " for " + age.Truncate(time.Millisecond).String(),
-	}
+	detail := "the store has not confirmed " + what + " for " + age.Truncate(time.Millisecond).String()
+	return refusal.New(refusal.StaleConfiguration, detail).WithRetryAfter(staleRetryAfter)
 }
 
 // unboundedTime stands for the time of a request without any bound.
@@ -189,10 +187,8 @@
 		di.placed(ta, ch, len(ready))
 		return ch.Endpoint, nil
 	}
-	return ch.Endpoint, &refusal.Error{
-		Reason: refusal.NoCapacity, RetryAfter: busyRetryAfter,
-		Detail: "no endpoint of " + ta.service.Name + " can take the request",
-	}
+	er := refusal.New(refusal.NoCapacity, "no endpoint of "+ta.service.Name+" can take the request")
+	return ch.Endpoint, er.WithRetryAfter(busyRetryAfter)
 }
 
 // placed logs why a generation goes to its engine. Plain calls are too many to
--- a/internal/refusal/refusal.go
+++ b/internal/refusal/refusal.go
@@ -147,6 +147,12 @@
 	return &er
 }
 
+// WithRetryAfter returns a copy with a pause of its own.
+func (er Error) WithRetryAfter(pause time.Duration) *Error {
+	er.RetryAfter = pause
+	return &er
+}
+
 // Rule returns the table row of the refusal.
 func (er *Error) Rule() Rule {
 	ru, found := Table[er.Reason]
