Keep copies inside the zone unless it is much fuller

Cause: a copy into another zone holds the engine's link twice as long (0.4 s for a long prompt), also for the runs behind it; with five runs the engine is gone before the last.

--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -74,7 +74,7 @@
 	engineZoneCost = 30.0
 	outputZoneCost = 0.6
 	// copyZoneCost is for a copy into another zone, which takes twice as long.
-	copyZoneCost = 150.0
+	copyZoneCost = 500.0
 	// failureCost is for an endpoint that failed once just now.
 	failureCost = 120.0
 	// fullCost is for an engine whose memory or slots are taken up.
