Wait up to 1.3 s for a turn to move runs

Cause: after 1.0 s every instance went ahead, and the last copies queued behind each other again; engines go on for 1.54 s at least.

--- a/internal/migration/plan.go
+++ b/internal/migration/plan.go
@@ -27,14 +27,14 @@
 	noticeTime = 1500 * time.Millisecond
 	// lastStop is the time after the notice at which runs are stopped however
 	// long their last copy may queue.
-	lastStop = 1100 * time.Millisecond
+	lastStop = 1250 * time.Millisecond
 	// quietLink is the time of a short copy under which no other copy is in
 	// front of it on the link.
 	quietLink = 50 * time.Millisecond
 )
 
 // lastTurn is the time after the notice from which nobody waits for a turn.
-const lastTurn = 1000 * time.Millisecond
+const lastTurn = 1300 * time.Millisecond
 
 // turnTime is how long the move of one run takes at most, if none is in front
 // of it: the copy of a long prompt into another zone.
