Refuse bodies over the configured limit, and drop fields that nothing used

Cause: limits of the configuration were read and not applied to bodies.

Ruled out: the limits on idle and slow callers: these callers stay within them, and the listener's own are wider.

Figures: dispatch.TestBodyOverTheLimit fails before (200) and passes after (413).

--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -149,6 +149,18 @@
 	})
 }
 
+func TestBodyOverTheLimit(t *testing.T) {
+	g := NewWithT(t)
+	wo := newWorld(t, succeeds)
+	re := wo.request("/read/")
+	re.Body = make([]byte, 1000)
+	g.Expect(reasonOf(wo.Serve(context.Background(), re))).To(BeEmpty())
+	re = wo.request("/read/")
+	re.Body = make([]byte, 1001)
+	g.Expect(reasonOf(wo.Serve(context.Background(), re))).To(Equal(refusal.TooLarge))
+	g.Expect(wo.runs()).To(Equal(1))
+}
+
 func TestTakenKeyIsRefusedAtOnce(t *testing.T) {
 	g := NewWithT(t)
 	wo := newWorld(t, succeeds)
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -102,6 +103,9 @@
 	if !found {
 		return nil, di.deny(age, refusal.New(refusal.NotFound, "no route for "+re.Host+re.Path))
 	}
+	if bound := cf.Limits().BodyBytes; bound > 0 && len(re.Body) > bound {
+		return nil, refusal.New(refusal.TooLarge, "the body is over "+strconv.Itoa(bound)+" bytes")
+	}
 	ta := &task{Request: re, route: route, open: !cf.HasTeams()}
 	if cf.NeedsKey(route) {
 		team, known := cf.Team(re.Key)
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -80,7 +80,7 @@
 	se := &session{di: di, ta: ta, ctx: ctx, cancel: cancel, endpoint: en, answer: re.answer, ticket: re.ticket}
 	if ta.service.Engine != nil && ta.service.Engine.Migrates && di.Runs != nil {
 		se.run = &migration.Run{
-			ID: ta.ID, Service: ta.service.Name, Engine: ta.service.Engine, Deadline: ta.deadline,
+			ID: ta.ID, Service: ta.service.Name, Engine: ta.service.Engine,
 			Prompt: ta.Prompt.Tokens, MaxOutput: ta.Prompt.MaxOutput,
 		}
 		se.run.At(en)
--- a/internal/dispatch/world_test.go
+++ b/internal/dispatch/world_test.go
@@ -192,6 +192,7 @@
 			{Host: "h", PathPrefix: "/public/", Repeat: routing.Idempotent, MaxAttempts: 1, Timeout: timeout, Public: true, Shares: shares},
 		},
 		Services: []routing.Service{{Name: "s", Engine: engine}},
+		Limits:   routing.Limits{BodyBytes: 1000},
 		Teams:    []routing.Team{{Name: "team", Keys: keys}},
 	}))
 	wo.State.Confirm(wo.boot.Now())
--- a/internal/migration/mover.go
+++ b/internal/migration/mover.go
@@ -154,13 +154,12 @@
 
 // at returns the runs at an engine that were not tried too often.
 func (mo *Mover) at(ev *evacuation) []candidate {
-	now := mo.Clock.Now()
 	mo.mu.Lock()
 	defer mo.mu.Unlock()
 	var list []candidate
 	for ru := range mo.runs {
 		if ru.Endpoint().ID == ev.source.ID && ev.tries[ru] < maxTries {
-			list = append(list, ru.state(now))
+			list = append(list, ru.state())
 		}
 	}
 	return list
--- a/internal/migration/mover_test.go
+++ b/internal/migration/mover_test.go
@@ -85,7 +85,7 @@
 var testEngine = &routing.Engine{Slots: 24, MemoryTokens: 30_000, TokensPerEvent: 4, Migrates: true}
 
 func (wo *world) run(id string) *Run {
-	ru := &Run{ID: id, Service: "s", Engine: testEngine, Prompt: 3000, MaxOutput: 2000, Deadline: wo.Clock.Now().Add(time.Minute)}
+	ru := &Run{ID: id, Service: "s", Engine: testEngine, Prompt: 3000, MaxOutput: 2000}
 	ru.At(wo.endpoint("e1"))
 	ru.Progress(3)
 	wo.Add(ru)
@@ -192,7 +192,7 @@
 			})
 			ru := wo.run("r1")
 			ev := &evacuation{source: wo.endpoint("e1"), notice: wo.Clock.Now(), tries: map[*Run]int{}, full: map[string]bool{"e1": true}}
-			g.Expect(wo.moveAll(context.Background(), ev, []candidate{ru.state(wo.Clock.Now())})).To(BeTrue())
+			g.Expect(wo.moveAll(context.Background(), ev, []candidate{ru.state()})).To(BeTrue())
 			mv, moved := ru.Await(context.Background())
 			g.Expect(moved).To(Equal(ca.moved))
 			if moved {
--- a/internal/migration/plan.go
+++ b/internal/migration/plan.go
@@ -15,7 +15,6 @@
 	// tokens are in the engine's memory; remaining is how many may come at most.
 	tokens    int
 	remaining int
-	left      time.Duration
 }
 
 const (
--- a/internal/migration/run.go
+++ b/internal/migration/run.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"sync"
-	"time"
 
 	"filbertstall.example/filbertstall/internal/placement"
 	"filbertstall.example/filbertstall/internal/roster"
@@ -28,8 +27,6 @@
 	// Prompt and MaxOutput are in tokens.
 	Prompt    int
 	MaxOutput int
-	// Deadline is when the caller's time ends.
-	Deadline time.Time
 
 	mu       sync.Mutex
 	endpoint roster.Endpoint
@@ -136,12 +133,12 @@
 }
 
 // state returns what a plan needs to know of the run.
-func (ru *Run) state(now time.Time) candidate {
+func (ru *Run) state() candidate {
 	ru.mu.Lock()
 	defer ru.mu.Unlock()
 	made := ru.events * max(ru.Engine.TokensPerEvent, 1)
 	return candidate{
 		run: ru, started: ru.events > 0, ended: ru.ended, stopping: ru.stopping != nil,
-		tokens: ru.Prompt + made, remaining: max(ru.MaxOutput-made, 0), left: ru.Deadline.Sub(now),
+		tokens: ru.Prompt + made, remaining: max(ru.MaxOutput-made, 0),
 	}
 }
