Plan moves with the answer that is expected, not with the longest

Cause: a move looked for an engine that could hold the longest answer that might still come (up to 2,196 tokens). On half-full engines that made all of the zone count as full, so runs were copied into other zones, which takes twice as long, and the engine was gone before the last copies.

TestTargetsArePlannedWithTheExpectedAnswer fails before.

--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -48,7 +48,7 @@
 			}
 			return Reply{Status: re.answer.Status, Headers: re.answer.Headers, Body: re.body}
 		}
-		se := di.open(ctx, cancel, ta, en, re)
+		se := di.open(ctx, cancel, ta, en, wo, re)
 		return Reply{Status: re.answer.Status, Headers: re.answer.Headers, Events: se}
 	}
 }
@@ -74,14 +74,14 @@
 }
 
 // open begins the session of a stream whose head has come.
-func (di *Dispatcher) open(ctx context.Context, cancel context.CancelFunc, ta *task, en roster.Endpoint, re result) *session {
+func (di *Dispatcher) open(ctx context.Context, cancel context.CancelFunc, ta *task, en roster.Endpoint, wo placement.Work, re result) *session {
 	re.ticket.Started()
 	di.Log.Info().Str("event", "first_event").Str("request", ta.ID).Str("endpoint", en.ID).Dur("took", di.Clock.Since(ta.Arrived)).Msg("dispatch: first event came")
 	se := &session{di: di, ta: ta, ctx: ctx, cancel: cancel, endpoint: en, answer: re.answer, ticket: re.ticket}
 	if ta.service.Engine != nil && ta.service.Engine.Migrates && di.Runs != nil {
 		se.run = &migration.Run{
 			ID: ta.ID, Service: ta.service.Name, Engine: ta.service.Engine,
-			Prompt: ta.Prompt.Tokens, MaxOutput: ta.Prompt.MaxOutput,
+			Prompt: ta.Prompt.Tokens, MaxOutput: ta.Prompt.MaxOutput, Output: wo.Output,
 		}
 		se.run.At(en)
 		di.Runs.Add(se.run)
--- a/internal/migration/move.go
+++ b/internal/migration/move.go
@@ -45,7 +45,7 @@
 // first chooses a target and makes the long copy, while the run goes on. A
 // target without room is left out from then on.
 func (mo *Mover) first(ctx context.Context, ev *evacuation, ca candidate) *move {
-	wo := placement.Work{Engine: ca.run.Engine, Prompt: ca.tokens, Output: ca.remaining, Zone: ev.source.Zone}
+	wo := placement.Work{Engine: ca.run.Engine, Prompt: ca.tokens, Output: min(ca.run.Output, ca.remaining), Zone: ev.source.Zone}
 	for ctx.Err() == nil {
 		ch, found := mo.Board.Choose(mo.Roster.View().Ready(ca.run.Service), wo, ev.full)
 		target := ch.Endpoint
--- a/internal/migration/mover_test.go
+++ b/internal/migration/mover_test.go
@@ -141,6 +141,27 @@
 	}
 }
 
+// Pattern: engines leave while the others are half full. A target in the zone
+// is taken although it could not hold the longest answer that may come.
+func TestTargetsArePlannedWithTheExpectedAnswer(t *testing.T) {
+	g := NewWithT(t)
+	wo := newWorld(takes)
+	far := roster.Endpoint{ID: "far", Address: "far", Service: "s", Zone: "b"}
+	wo.Roster.Apply([]feed.Change[roster.Endpoint]{{Object: feed.Object[roster.Endpoint]{Name: "far", Value: &far}}})
+	for _, id := range []string{"e2", "e3"} {
+		for range 6 {
+			wo.Board.Begin(wo.endpoint(id), placement.Work{Engine: testEngine, Prompt: 3500, Output: 400}).Started()
+		}
+	}
+	ru := wo.run("r1")
+	ru.Output = 400
+	wo.Roster.Leave("e1")
+	wo.Leaving(wo.endpoint("e1"))
+	mv, moved := await(ru)
+	g.Expect(moved).To(BeTrue())
+	g.Expect(mv.Target.Zone).To(Equal("a"))
+}
+
 func TestTargetWithoutRoomIsLeftOut(t *testing.T) {
 	g := NewWithT(t)
 	full := ""
--- a/internal/migration/run.go
+++ b/internal/migration/run.go
@@ -27,6 +27,10 @@
 	// Prompt and MaxOutput are in tokens.
 	Prompt    int
 	MaxOutput int
+	// Output is how many tokens of memory the answer is planned with, as it was
+	// where the run began. A target that had to hold the longest answer would
+	// rarely be found, and other zones take twice as long to copy to.
+	Output int
 
 	mu       sync.Mutex
 	endpoint roster.Endpoint
