Keep standby copies of long runs where memory is to spare

Cause: an engine that crashes takes its streams with it; nothing could go on with them. Engines can copy a run to another one as it grows, and go on from there.

Streams that pause over their objective are logged (stream_paused).

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -38,6 +38,14 @@
 	giveUp
 )
 
+// place is where a task is tried.
+type place struct {
+	endpoint roster.Endpoint
+	work     placement.Work
+	// standby is nil if no copy of the run is kept.
+	standby *standby
+}
+
 // result is how an attempt went.
 type result struct {
 	step    step
@@ -50,13 +58,14 @@
 
 // attempt sends a task to an endpoint and judges the head of the answer. A
 // delivered result holds an open answer and its ticket.
-func (di *Dispatcher) attempt(ctx context.Context, ta *task, en roster.Endpoint, wo placement.Work) result {
+func (di *Dispatcher) attempt(ctx context.Context, ta *task, pl place) result {
+	en := pl.endpoint
 	ta.mark(en)
-	at := Attempt{Endpoint: en, Left: ta.left(di.Clock.Now()), Team: ta.team, PassCredential: ta.open, MaxIdle: freshIdle}
+	at := Attempt{Endpoint: en, Left: ta.left(di.Clock.Now()), Team: ta.team, PassCredential: ta.open, Standby: pl.standby.address(), MaxIdle: freshIdle}
 	if ta.route.Repeat == routing.Idempotent {
 		at.MaxIdle = keptIdle
 	}
-	ti := di.Board.Begin(en, wo)
+	ti := di.Board.Begin(en, pl.work)
 	an, err := di.Sender.Do(ctx, di.Codec.Call(ta.Request, at))
 	if err != nil {
 		return di.failed(ctx, ta, en, ti, err)
--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -22,7 +22,7 @@
 			er.Dispatched = ta.ran > 0
 			return di.refuse(ta.Request, er)
 		}
-		re := di.attempt(ctx, ta, en, wo)
+		re := di.attempt(ctx, ta, place{endpoint: en, work: wo})
 		if re.step == deliver {
 			re = di.whole(ctx, ta, en, re)
 			if re.step == deliver {
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -69,6 +69,9 @@
 	PassCredential bool
 	// Resume is nil for a run from the start.
 	Resume *Resume
+	// Standby is the address of the engine that keeps a copy of the run; empty
+	// means none.
+	Standby string
 	// MaxIdle is how long the connection may have been idle.
 	MaxIdle time.Duration
 }
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"time"
 
 	"filbertstall.example/filbertstall/internal/migration"
 	"filbertstall.example/filbertstall/internal/placement"
@@ -32,7 +33,11 @@
 			cancel()
 			return di.refuse(ta.Request, er)
 		}
-		re := di.attempt(ctx, ta, en, wo)
+		pl := place{endpoint: en, work: wo, standby: di.keepCopy(ta, en, wo)}
+		re := di.attempt(ctx, ta, pl)
+		if re.step != deliver || re.answer.Status != http.StatusOK {
+			pl.standby.release()
+		}
 		if re.step == again {
 			continue
 		}
@@ -48,21 +53,21 @@
 			}
 			return Reply{Status: re.answer.Status, Headers: re.answer.Headers, Body: re.body}
 		}
-		se := di.open(ctx, cancel, ta, en, wo, re)
+		se := di.open(ctx, cancel, ta, pl, re)
 		return Reply{Status: re.answer.Status, Headers: re.answer.Headers, Events: se}
 	}
 }
 
 // session is a stream that goes to its caller. One goroutine reads it.
 type session struct {
-	di       *Dispatcher
-	ta       *task
-	ctx      context.Context
-	cancel   context.CancelFunc
-	endpoint roster.Endpoint
-	answer   *upstream.Answer
-	ticket   *placement.Ticket
-	run      *migration.Run
+	place
+	di     *Dispatcher
+	ta     *task
+	ctx    context.Context
+	cancel context.CancelFunc
+	answer *upstream.Answer
+	ticket *placement.Ticket
+	run    *migration.Run
 	// pending is read of the answer; the first whole bytes of it are events.
 	pending []byte
 	whole   int
@@ -70,20 +75,24 @@
 	last   string
 	events int
 	ended  error
+	// lastAt is when the last event was whole.
+	lastAt time.Time
 	moves  int
 }
 
 // open begins the session of a stream whose head has come.
-func (di *Dispatcher) open(ctx context.Context, cancel context.CancelFunc, ta *task, en roster.Endpoint, wo placement.Work, re result) *session {
+func (di *Dispatcher) open(ctx context.Context, cancel context.CancelFunc, ta *task, pl place, re result) *session {
+	en := pl.endpoint
 	re.ticket.Started()
 	di.Log.Info().Str("event", "first_event").Str("request", ta.ID).Str("endpoint", en.ID).Dur("took", di.Clock.Since(ta.Arrived)).Msg("dispatch: first event came")
-	se := &session{di: di, ta: ta, ctx: ctx, cancel: cancel, endpoint: en, answer: re.answer, ticket: re.ticket}
+	se := &session{di: di, ta: ta, ctx: ctx, cancel: cancel, place: pl, answer: re.answer, ticket: re.ticket}
 	if ta.service.Engine != nil && ta.service.Engine.Migrates && di.Runs != nil {
 		se.run = &migration.Run{
 			ID: ta.ID, Service: ta.service.Name, Engine: ta.service.Engine,
-			Prompt: ta.Prompt.Tokens, MaxOutput: ta.Prompt.MaxOutput, Output: wo.Output,
+			Prompt: ta.Prompt.Tokens, MaxOutput: ta.Prompt.MaxOutput, Output: pl.work.Output,
 		}
 		se.run.At(en)
+		se.run.Keep(pl.standby.id())
 		di.Runs.Add(se.run)
 		if now, known := di.Roster.View().Get(en.ID); !known || now.Leaving {
 			se.di.leaving(en)
@@ -157,12 +166,24 @@
 			se.last = id
 		}
 		se.events++
+		se.pause()
 	}
 	if se.run != nil {
 		se.run.Progress(se.events)
 	}
 }
 
+// pause logs a pause before an event that makes the stream late.
+func (se *session) pause() {
+	now := se.di.Clock.Now()
+	bound := se.ta.route.MaxGap
+	if pause := now.Sub(se.lastAt); se.events > 1 && bound > 0 && pause > bound {
+		se.di.Log.Info().Str("event", "stream_paused").Str("request", se.ta.ID).Str("endpoint", se.endpoint.ID).Int("events", se.events).
+			Int("moves", se.moves).Dur("pause", pause).Msg("dispatch: the caller saw a long pause")
+	}
+	se.lastAt = now
+}
+
 // idOf returns the id of an event.
 func idOf(event []byte) string {
 	for line := range bytes.SplitSeq(event, []byte("\n")) {
@@ -176,16 +197,17 @@
 // maxMoves bounds how often one stream goes on elsewhere.
 const maxMoves = 16
 
-// goOn goes on with a broken stream where its run was moved, or ends it.
+// goOn goes on with a broken stream where its run was moved, or at its standby
+// copy, or ends it.
 func (se *session) goOn(cause error) {
 	se.answer.Close()
 	se.pending = se.pending[:se.whole]
-	if se.ctx.Err() != nil || se.run == nil || se.moves >= maxMoves {
+	if se.ctx.Err() != nil || se.moves >= maxMoves {
 		se.broke(cause)
 		return
 	}
-	mv, moved := se.run.Await(se.ctx)
-	if !moved {
+	mv, found := se.next()
+	if !found {
 		se.broke(cause)
 		return
 	}
@@ -193,15 +215,34 @@
 	se.ticket.End(placement.Done)
 	if err := se.resume(mv); err != nil {
 		mv.Ticket.End(placement.Lost)
-		se.broke(err)
+		se.broke(errors.Join(err, cause))
+	}
+}
+
+// next returns where a broken run goes on.
+func (se *session) next() (migration.Moved, bool) {
+	if se.run != nil {
+		if mv, moved := se.run.Await(se.ctx); moved {
+			return mv, true
+		}
 	}
+	mv, found := se.takeOver()
+	if found && se.run != nil {
+		se.run.At(mv.Target)
+	}
+	return mv, found
 }
 
 // resume goes on with the run at the target of its move.
 func (se *session) resume(mv migration.Moved) error {
 	di := se.di
+	se.standby.release()
+	se.standby = di.keepCopy(se.ta, mv.Target, se.work)
+	if se.run != nil {
+		se.run.Keep(se.standby.id())
+	}
 	at := Attempt{
-		Endpoint: mv.Target, Left: se.ta.left(di.Clock.Now()), Team: se.ta.team, PassCredential: se.ta.open,
+		Endpoint: mv.Target, Left: se.ta.left(di.Clock.Now()), Team: se.ta.team, PassCredential: se.ta.open, Standby: se.standby.address(),
 		Resume: &Resume{Source: mv.From.Address, Handle: mv.Handle, LastEvent: se.last},
 	}
 	di.Budget.Force(se.ta.service.Name)
@@ -251,6 +292,7 @@
 	se.ended = err
 	se.answer.Close()
 	se.ticket.End(ou)
+	se.standby.release()
 	if se.run != nil {
 		se.di.Runs.Remove(se.run)
 		se.run = nil
--- a/internal/dispatch/world_test.go
+++ b/internal/dispatch/world_test.go
@@ -36,6 +36,9 @@
 			{Name: "Id", Value: re.ID}, {Name: "Team", Value: at.Team}, {Name: "Left", Value: strconv.FormatInt(at.Left.Milliseconds(), 10)},
 		},
 	}
+	if at.Standby != "" {
+		ca.Headers = append(ca.Headers, upstream.Header{Name: "Standby", Value: at.Standby})
+	}
 	if at.Resume != nil {
 		ca.Headers = append(ca.Headers, upstream.Header{Name: "From", Value: at.Resume.Handle}, upstream.Header{Name: "Last", Value: at.Resume.LastEvent})
 	}
@@ -181,7 +184,7 @@
 func (wo *world) configure(version int64, keys ...string) {
 	shares := []routing.Share{{Service: "s", Weight: 1}}
 	const timeout = 2 * time.Second
-	engine := &routing.Engine{Slots: 4, MemoryTokens: 10_000, Migrates: true, TokensPerEvent: 4}
+	engine := &routing.Engine{Slots: 4, MemoryTokens: 10_000, Migrates: true, Standbys: true, TokensPerEvent: 4}
 	wo.State.Put(routing.New(routing.Spec{
 		Version: version,
 		Routes: []routing.Route{
@@ -198,6 +201,12 @@
 	wo.State.Confirm(wo.boot.Now())
 }
 
+// engine describes the engines of the world's service.
+func (wo *world) engine() *routing.Engine {
+	se, _ := wo.State.Load().Service("s")
+	return se.Engine
+}
+
 // restart lets an endpoint register under another start, shunned by nobody.
 func (wo *world) restart(en roster.Endpoint) {
 	wo.Roster.Apply([]feed.Change[roster.Endpoint]{{Object: feed.Object[roster.Endpoint]{Name: en.ID, Value: &en}}})
--- a/internal/migration/mover.go
+++ b/internal/migration/mover.go
@@ -159,7 +159,9 @@
 	var list []candidate
 	for ru := range mo.runs {
 		if ru.Endpoint().ID == ev.source.ID && ev.tries[ru] < maxTries {
-			list = append(list, ru.state())
+			ca := ru.state()
+			_, ca.safe = mo.Roster.View().Usable(ca.standby)
+			list = append(list, ca)
 		}
 	}
 	return list
--- a/internal/migration/mover_test.go
+++ b/internal/migration/mover_test.go
@@ -162,6 +162,26 @@
 	g.Expect(mv.Target.Zone).To(Equal("a"))
 }
 
+// Pattern: more runs at an engine that leaves than can be copied in time. Those
+// with a standby copy go on from it when the engine is gone, unless the engine
+// of the copy leaves, too.
+func TestRunsWithAStandbyStay(t *testing.T) {
+	g := NewWithT(t)
+	wo := newWorld(takes)
+	safe, lost := wo.run("safe"), wo.run("lost")
+	safe.Keep("e2")
+	lost.Keep("e3")
+	wo.Roster.Leave("e3")
+	wo.Roster.Leave("e1")
+	wo.Leaving(wo.endpoint("e1"))
+	mv, moved := await(lost)
+	g.Expect(moved).To(BeTrue())
+	g.Expect(mv.Target.ID).To(Equal("e2"))
+	for _, call := range wo.engines.calls() {
+		g.Expect(call).To(HavePrefix("lost"))
+	}
+}
+
 func TestTargetWithoutRoomIsLeftOut(t *testing.T) {
 	g := NewWithT(t)
 	full := ""
--- a/internal/migration/plan.go
+++ b/internal/migration/plan.go
@@ -12,6 +12,10 @@
 	started  bool
 	ended    bool
 	stopping bool
+	// standby is the engine that keeps a copy of the run, or empty.
+	standby string
+	// safe tells that this engine can take the run over.
+	safe bool
 	// tokens are in the engine's memory; remaining is how many may come at most.
 	tokens    int
 	remaining int
@@ -43,12 +47,13 @@
 func turnBound(runs int) time.Duration { return time.Duration(runs) * turnTime }
 
 // movable returns the runs that are worth a move, those with the least to copy
-// first: they are safe soonest, and a copy that is cut off by the engine's end
+// first (one whose standby copy can take over needs no move, and copies of it
+// would only delay the others): they are safe soonest, and a copy that is cut off by the engine's end
 // saves nobody.
 func movable(list []candidate, sinceNotice time.Duration) []candidate {
 	kept := list[:0]
 	for _, ca := range list {
-		if ca.started && !ca.ended && !ca.stopping && !endsInTime(ca, noticeTime-sinceNotice) {
+		if ca.started && !ca.ended && !ca.stopping && !ca.safe && !endsInTime(ca, noticeTime-sinceNotice) {
 			kept = append(kept, ca)
 		}
 	}
--- a/internal/migration/plan_test.go
+++ b/internal/migration/plan_test.go
@@ -20,6 +20,7 @@
 		{"one that would end too late", candidate{started: true, tokens: 3000, remaining: 40}, 1200 * time.Millisecond, true},
 		{"one without a first token", candidate{remaining: 2000}, 0, false},
 		{"one that is over", candidate{started: true, ended: true, remaining: 2000}, 0, false},
+		{"one with a standby copy that can take over", candidate{started: true, safe: true, tokens: 3000, remaining: 2000}, 0, false},
 		{"one that is being stopped", candidate{started: true, stopping: true, remaining: 2000}, 0, false},
 	} {
 		t.Run(ca.name, func(t *testing.T) {
--- a/internal/migration/run.go
+++ b/internal/migration/run.go
@@ -36,6 +36,8 @@
 	endpoint roster.Endpoint
 	events   int
 	ended    bool
+	// standby is the ID of the engine that keeps a copy of the run, or empty.
+	standby string
 	// stopping is open while a final copy is under way.
 	stopping chan struct{}
 	moved    *Moved
@@ -55,6 +57,13 @@
 	return ru.endpoint
 }
 
+// Keep notes the engine that keeps a copy of the run; empty means none.
+func (ru *Run) Keep(standby string) {
+	ru.mu.Lock()
+	defer ru.mu.Unlock()
+	ru.standby = standby
+}
+
 // Progress notes how many events have come in all.
 func (ru *Run) Progress(events int) {
 	ru.mu.Lock()
@@ -143,6 +152,6 @@
 	made := ru.events * max(ru.Engine.TokensPerEvent, 1)
 	return candidate{
 		run: ru, started: ru.events > 0, ended: ru.ended, stopping: ru.stopping != nil,
-		tokens: ru.Prompt + made, remaining: max(ru.MaxOutput-made, 0),
+		standby: ru.standby, tokens: ru.Prompt + made, remaining: max(ru.MaxOutput-made, 0),
 	}
 }
--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -199,7 +199,7 @@
 	defer bo.mu.Unlock()
 	loads := make(map[string]Load, len(bo.accounts))
 	for id, ac := range bo.accounts {
-		if ac.generations > 0 {
+		if ac.generations > 0 || ac.held > 0 {
 			loads[id] = Load{Running: ac.generations, Reading: ac.reading, Held: ac.held}
 		}
 	}
@@ -250,7 +250,7 @@
 	bo.mu.Lock()
 	defer bo.mu.Unlock()
 	for id, ac := range bo.accounts {
-		if ac.running == 0 && !known(id) {
+		if ac.running == 0 && ac.held == 0 && !known(id) {
 			delete(bo.accounts, id)
 		}
 	}
--- a/internal/placement/ticket.go
+++ b/internal/placement/ticket.go
@@ -9,6 +9,8 @@
 	reading int
 	held    int
 	engine  bool
+	// reserve tells that only memory is taken up: nothing runs.
+	reserve bool
 	ended   bool
 }
 
@@ -51,12 +53,17 @@
 	}
 	ti.ended = true
 	ac := ti.board.account(ti.id)
+	ac.reading -= ti.reading
+	ac.held -= ti.held
+	if ti.engine {
+		defer ti.board.changed()
+	}
+	if ti.reserve {
+		return
+	}
 	ac.running--
 	if ti.engine {
 		ac.generations--
-		defer ti.board.changed()
 	}
-	ac.reading -= ti.reading
-	ac.held -= ti.held
 	ac.settle(ou, ti.board.Clock.Now())
 }
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -289,6 +289,13 @@
 	return count
 }
 
+// Usable returns an endpoint by ID if it may get requests.
+func (vi *View) Usable(id string) (Endpoint, bool) {
+	en, found := vi.byID[id]
+	_, evacuated := slices.BinarySearch(vi.evacuated, en.Zone)
+	return en, found && !en.Leaving && !evacuated
+}
+
 // Get returns an endpoint by ID, also one that leaves.
 func (vi *View) Get(id string) (Endpoint, bool) {
 	en, found := vi.byID[id]
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -163,3 +163,19 @@
 	en, _ := wo.View().Get("e1")
 	g.Expect(en.ColdUntil).To(Equal(wo.clock.Now().Add(time.Second)))
 }
+
+func TestUsable(t *testing.T) {
+	g := NewWithT(t)
+	ro := &Roster{Clock: clockwork.NewFakeClock(), Log: zerolog.Nop()}
+	ready := Endpoint{ID: "ready", Zone: "a"}
+	leaving := Endpoint{ID: "leaving", Zone: "a", Leaving: true}
+	away := Endpoint{ID: "away", Zone: "b"}
+	for _, en := range []*Endpoint{&ready, &leaving, &away} {
+		ro.Apply([]feed.Change[Endpoint]{{Object: feed.Object[Endpoint]{Name: en.ID, Value: en}}})
+	}
+	ro.Evacuate([]string{"b"})
+	for id, want := range map[string]bool{"ready": true, "leaving": false, "away": false, "unknown": false} {
+		_, usable := ro.View().Usable(id)
+		g.Expect(usable).To(Equal(want), id)
+	}
+}
