Ask engines whether they leave while the store can't tell

Change: internal/healthcheck asks engines with own runs each 250 ms while the store, or the zone's reader, gets no answers. Readers tell silence at once.

--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -14,7 +14,6 @@
 	"filbertstall.example/filbertstall/internal/boottime"
 	"filbertstall.example/filbertstall/internal/dispatch"
 	gw "filbertstall.example/filbertstall/internal/gateway"
-	"filbertstall.example/filbertstall/internal/migration"
 	"filbertstall.example/filbertstall/platform"
 )
 
@@ -53,7 +52,7 @@
 			Endpoints: platform.Endpoints(store), Configurations: platform.Configurations(store), Evacuations: platform.Evacuations(store),
 			Members: platform.Members(store), Registry: store,
 			ConfigurationName: platform.ConfigurationName, DecodeConfiguration: platform.DecodeConfiguration, Codec: platform.Codec{}, IDHeader: platform.IDHeader, ReadyPath: platform.ReadyPath, Relocate: store.Relocate,
-			Engines: func(se dispatch.Sender) migration.Engines { return platform.Engines{Sender: se} },
+			Engines: func(se dispatch.Sender) gw.Engines { return platform.Engines{Sender: se} },
 		},
 	}
 	go watchSettings(ctx, path, in, log)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"github.com/jonboulle/clockwork"
 	"github.com/rotisserie/eris"
@@ -15,6 +16,7 @@
 	"filbertstall.example/filbertstall/internal/dispatch"
 	"filbertstall.example/filbertstall/internal/feed"
 	"filbertstall.example/filbertstall/internal/hangup"
+	"filbertstall.example/filbertstall/internal/healthcheck"
 	"filbertstall.example/filbertstall/internal/ingress"
 	"filbertstall.example/filbertstall/internal/loadshare"
 	"filbertstall.example/filbertstall/internal/metric"
@@ -35,6 +37,12 @@
 	ingress.Codec
 }
 
+// Engines gives orders to engines and asks them.
+type Engines interface {
+	migration.Engines
+	healthcheck.Engines
+}
+
 // Adapter is what a gateway needs of a platform.
 type Adapter struct {
 	Endpoints      feed.Source[roster.Endpoint]
@@ -48,7 +56,7 @@
 	DecodeConfiguration func(source []byte) (*routing.Configuration, error)
 	Codec               Codec
 	// Engines gives orders by a sender.
-	Engines func(dispatch.Sender) migration.Engines
+	Engines func(dispatch.Sender) Engines
 	// IDHeader is the header field in which endpoints repeat a request's ID.
 	IDHeader string
 	// Relocate makes the sources read another store.
@@ -71,6 +79,7 @@
 	board    placement.Board
 	members  loadshare.Members
 	relay    relay.Log
+	relaying relay.Switch
 	suspects *suspicion.Registry
 	turns    loadshare.Turns
 	pool     upstream.Pool
@@ -122,6 +131,17 @@
 	return dispatch.Ages{Key: se.keyAge(), Deny: se.denyAge()}
 }
 
+// staleAge is the age of the proof from which engines are asked themselves. In
+// calm times it is under 3 s: the reader hears from the store each second and
+// then knows of the second before, and others hear from the reader each second.
+const staleAge = 3300 * time.Millisecond
+
+// stale tells whether a notice of an engine may not have come through the store.
+func (gw *Gateway) stale() bool {
+	age, proven := gw.state.Age()
+	return proven && (age > staleAge || gw.roster.Silent() || gw.relaying.Silent())
+}
+
 // build makes the parts of the instance and returns its controllers.
 func (gw *Gateway) build(li listeners) []controller.Controller {
 	se := gw.Settings
@@ -130,7 +150,8 @@
 	gw.board = placement.Board{Clock: gw.Clock, Zone: se.Zone, Instance: se.Instance, Changes: make(chan struct{}, 1)}
 	gw.turns = loadshare.Turns{Instance: se.Instance, Changes: gw.board.Changes}
 	gw.pool = upstream.Pool{IDHeader: gw.Adapter.IDHeader, Clock: gw.Clock}
-	mover := &migration.Mover{Engines: gw.Adapter.Engines(&gw.pool), Roster: &gw.roster, Board: &gw.board, Clock: gw.Clock, Log: gw.Log, Turns: &gw.turns}
+	engines := gw.Adapter.Engines(&gw.pool)
+	mover := &migration.Mover{Engines: engines, Roster: &gw.roster, Board: &gw.board, Clock: gw.Clock, Log: gw.Log, Turns: &gw.turns}
 	gw.roster = roster.Roster{Clock: gw.Clock, Log: gw.Log, OnLeave: mover.Leaving, OnChange: gw.relay.Observe}
 	gw.relay = relay.Log{Boot: gw.Boot, Roster: &gw.roster, State: &gw.state, Now: gw.Clock.Now, Epoch: gw.Clock.Now().UnixNano()}
 	gw.suspects = &suspicion.Registry{Caller: &peer.Client{}, Peers: gw.confidants, Clock: gw.Clock}
@@ -145,6 +166,7 @@
 	gw.ready = &readiness{state: &gw.state, roster: &gw.roster, ages: gw.ages}
 	controllers := []controller.Controller{
 		hangups, &gw.ingress, &janitor{gw: gw},
+		&healthcheck.Checker{Engines: engines, Runs: mover.Endpoints, Stale: gw.stale, Leave: gw.roster.Leave, Clock: gw.Clock, Log: gw.Log},
 		&plainServer{name: "readiness", listener: li.readiness, handler: gw.serveReady},
 	}
 	if li.metrics != nil {
--- a/internal/gateway/share.go
+++ b/internal/gateway/share.go
@@ -26,6 +26,11 @@
 		// Only a service without methods of the right form fails.
 		panic(err)
 	}
+	gw.relaying = relay.Switch{
+		Log: &gw.relay, Caller: &peer.Client{}, Self: se.Instance, Zone: se.Zone, Members: &gw.members, Alive: exchange.Heard,
+		Configuration: gw.followConfiguration(), Others: gw.followOthers(), Fetch: gw.fetchConfiguration, Decode: gw.Adapter.DecodeConfiguration,
+		Roster: &gw.roster, State: &gw.state, Clock: gw.Clock, Boot: gw.Boot, Logger: gw.Log,
+	}
 	return []controller.Controller{
 		&registration{registry: gw.Adapter.Registry, self: self, clock: gw.Clock, log: gw.Log},
 		&feed.Follower[loadshare.Member]{
@@ -33,11 +38,7 @@
 			Sink: &memberSink{members: &gw.members},
 		},
 		exchange, peers, gw.suspects,
-		&relay.Switch{
-			Log: &gw.relay, Caller: &peer.Client{}, Self: se.Instance, Zone: se.Zone, Members: &gw.members, Alive: exchange.Heard,
-			Configuration: gw.followConfiguration(), Others: gw.followOthers(), Fetch: gw.fetchConfiguration, Decode: gw.Adapter.DecodeConfiguration,
-			Roster: &gw.roster, State: &gw.state, Clock: gw.Clock, Boot: gw.Boot, Logger: gw.Log,
-		},
+		&gw.relaying,
 	}
 }
 
--- a/internal/migration/mover.go
+++ b/internal/migration/mover.go
@@ -167,6 +167,23 @@
 	return list
 }
 
+// Endpoints returns the engines at which runs are, as the roster knows them.
+func (mo *Mover) Endpoints() []roster.Endpoint {
+	mo.mu.Lock()
+	defer mo.mu.Unlock()
+	seen := make(map[string]bool)
+	var list []roster.Endpoint
+	vi := mo.Roster.View()
+	for ru := range mo.runs {
+		en, known := vi.Get(ru.Endpoint().ID)
+		if known && !seen[en.ID] {
+			seen[en.ID] = true
+			list = append(list, en)
+		}
+	}
+	return list
+}
+
 func (mo *Mover) count(en roster.Endpoint) int {
 	mo.mu.Lock()
 	defer mo.mu.Unlock()
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -24,8 +24,10 @@
 type Update struct {
 	Epoch    int64
 	Sequence uint64
-	// Direct tells that the sender reads the store itself.
+	// Direct tells that the sender reads the store itself, and Silent that it got
+	// no answer to its last call.
 	Direct bool
+	Silent bool
 	// Full tells that Endpoints are all, not those that changed.
 	Full      bool
 	Endpoints []roster.Endpoint
@@ -60,6 +62,7 @@
 	endpoints map[string]roster.Endpoint
 	zones     []string
 	version   int64
+	silent    bool
 	// changed has the IDs of endpoints in the order of their changes; the last
 	// one is number sequence.
 	changed []string
@@ -80,8 +83,9 @@
 	defer lo.mu.Unlock()
 	before := lo.sequence
 	lo.compare(vi.All())
-	if zones := vi.Evacuated(); version != lo.version || !slices.Equal(zones, lo.zones) {
-		lo.zones, lo.version = zones, version
+	silent := lo.Roster.Silent()
+	if zones := vi.Evacuated(); version != lo.version || silent != lo.silent || !slices.Equal(zones, lo.zones) {
+		lo.zones, lo.version, lo.silent = zones, version, silent
 		lo.note("")
 	}
 	if lo.sequence != before && lo.wake != nil {
@@ -163,7 +167,7 @@
 // update makes the update that follows a query; mu is held.
 func (lo *Log) update(qu Query) Update {
 	up := Update{
-		Epoch: lo.Epoch, Sequence: lo.sequence, Direct: lo.direct, Zones: lo.zones, Version: lo.version,
+		Epoch: lo.Epoch, Sequence: lo.sequence, Direct: lo.direct, Silent: lo.silent, Zones: lo.zones, Version: lo.version,
 		ConfigurationAge: unknownAge, EndpointsAge: unknownAge,
 	}
 	if age, proven := lo.State.Age(); proven {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -318,3 +318,19 @@
 	g.Expect(silent.count()).To(BeNumerically(">=", 1), "the store is tried first")
 	g.Expect(no.state.Load().Version).To(Equal(int64(2)), "with the configuration that the reader has")
 }
+
+// A reader tells at once that the store does not answer it, and that it does
+// again.
+func TestLogTellsOfSilence(t *testing.T) {
+	g := NewWithT(t)
+	no := newNode()
+	no.put("e1")
+	up := no.ask(Query{})
+	g.Expect(up.Silent).To(BeFalse())
+	no.roster.Trouble(errors.New("down"))
+	silent := no.ask(Query{Epoch: up.Epoch, Sequence: up.Sequence, Wait: time.Hour})
+	g.Expect(silent.Silent).To(BeTrue())
+	g.Expect(silent.Endpoints).To(BeEmpty())
+	no.roster.Contact(0)
+	g.Expect(no.ask(Query{Epoch: silent.Epoch, Sequence: silent.Sequence, Wait: time.Hour}).Silent).To(BeFalse())
+}
--- a/internal/relay/switch.go
+++ b/internal/relay/switch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -65,8 +66,14 @@
 	Logger zerolog.Logger
 
 	started time.Time
+	// silent tells that the reader that is followed gets no answers.
+	silent atomic.Bool
 }
 
+// Silent tells whether the reader that this instance follows gets no answers
+// from the store.
+func (sw *Switch) Silent() bool { return sw.silent.Load() }
+
 // Name implements controller.Controller.
 func (sw *Switch) Name() string { return "relay" }
 
@@ -201,6 +208,7 @@
 // follow takes in what a reader knows until it fails. With own it is the reader
 // of this zone, and is left for another that should be.
 func (sw *Switch) follow(ctx context.Context, me loadshare.Member, own bool) error {
+	defer sw.silent.Store(false)
 	sw.Logger.Info().Str("event", "reader_followed").Str("reader", me.Name).Msg("relay: following a reader")
 	var qu Query
 	for ctx.Err() == nil {
@@ -213,6 +221,7 @@
 		if err := judge(up); err != nil {
 			return err
 		}
+		sw.silent.Store(up.Silent)
 		sw.apply(up)
 		if err := sw.confirm(ctx, me, up, begun); err != nil {
 			return err
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -57,7 +57,10 @@
 	held      map[string]time.Time
 	evacuated map[string]bool
 	listed    bool
-	away      bool
+	// away lasts until the store has told something again, silent until it has
+	// answered at all.
+	away   bool
+	silent bool
 	// back is when the store answered again after it was away.
 	back time.Time
 	view snapshot.Holder[View]
@@ -106,12 +109,17 @@
 }
 
 // Contact implements feed.Sink.
-func (ro *Roster) Contact(time.Duration) { ro.update(ro.expire) }
+func (ro *Roster) Contact(time.Duration) {
+	ro.update(func(now time.Time) []Endpoint {
+		ro.silent = false
+		return ro.expire(now)
+	})
+}
 
 // Trouble implements feed.Sink.
 func (ro *Roster) Trouble(error) {
 	ro.update(func(now time.Time) []Endpoint {
-		ro.away = true
+		ro.away, ro.silent = true, true
 		return ro.expire(now)
 	})
 }
@@ -126,6 +134,13 @@
 	}
 }
 
+// Silent tells whether the store did not answer the last call.
+func (ro *Roster) Silent() bool {
+	ro.mu.Lock()
+	defer ro.mu.Unlock()
+	return ro.silent
+}
+
 // Leave marks an endpoint that said of itself that it leaves.
 func (ro *Roster) Leave(id string) {
 	ro.update(func(time.Time) []Endpoint {
@@ -156,6 +171,7 @@
 
 // returned notes the end of a time in which the store did not answer.
 func (ro *Roster) returned(now time.Time) {
+	ro.silent = false
 	if ro.away {
 		ro.away, ro.back = false, now
 	}
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -179,3 +179,19 @@
 		g.Expect(usable).To(Equal(want), id)
 	}
 }
+
+// The store counts as silent from a call without an answer to the next answer,
+// also one that tells nothing new.
+func TestSilentStore(t *testing.T) {
+	g := NewWithT(t)
+	ro := &Roster{Clock: clockwork.NewFakeClock(), Log: zerolog.Nop()}
+	g.Expect(ro.Silent()).To(BeFalse())
+	for _, answer := range []func(){
+		func() { ro.Contact(0) }, func() { ro.Apply(nil) }, func() { ro.Reset(nil) },
+	} {
+		ro.Trouble(errors.New("down"))
+		g.Expect(ro.Silent()).To(BeTrue())
+		answer()
+		g.Expect(ro.Silent()).To(BeFalse())
+	}
+}
