--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -72,7 +72,7 @@
 	// token that is expected there: the longer a stream, the likelier it is cut
 	// off with its zone, or has to be copied while its engine leaves.
 	engineZoneCost = 30.0
-	outputZoneCost = 0.6
+	outputZoneCost = 1.3
 	// copyZoneCost is for a copy into another zone, which takes twice as long.
 	copyZoneCost = 500.0
 	// failureCost is for an endpoint that failed once just now.
