Let go of streams that go silent behind a cut, and go on from their copy

Ruled out: a pause alone as a sign (preempted runs pause for 1 to 2 s); one look (one lost packet fails it).

--- a/internal/dispatch/standby_test.go
+++ b/internal/dispatch/standby_test.go
@@ -1,8 +1,11 @@
 package dispatch
 
 import (
+	"context"
+	"fmt"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 
 	. "github.com/onsi/gomega"
@@ -107,3 +110,41 @@
 	_, found = se.takeOver()
 	g.Expect(found).To(BeFalse(), "a copy is used once")
 }
+
+// silent makes some events and then nothing, until the connection is closed.
+func silent(conn net.Conn, re *http.Request) {
+	if re.Header.Get("From") != "" {
+		events(4, 6, true)(conn, re)
+		return
+	}
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nProof: p\r\nTransfer-Encoding: chunked\r\n\r\n", re.Header.Get("Id"))
+	for ix := 1; ix <= 3; ix++ {
+		chunk(conn, fmt.Sprintf("id: %d\ndata: x\n\n", ix))
+	}
+	_, _ = conn.Read(make([]byte, 1))
+}
+
+// Pattern: a zone is cut off and streams across its border go silent. The engine
+// must be unreachable, too: a run that is preempted pauses as long.
+func TestSilentStreams(t *testing.T) {
+	for _, ca := range []struct {
+		name      string
+		reachable []bool
+		want      string
+	}{
+		{"the engine can't be reached", []bool{false, false}, numbered(1, 6)},
+		{"one packet was lost", []bool{false, true}, numbered(1, 3)},
+		{"the engine pauses", []bool{true}, numbered(1, 3)},
+	} {
+		t.Run(ca.name, func(t *testing.T) {
+			g := NewWithT(t)
+			wo := newWorld(t, silent, silent)
+			var looks atomic.Int64
+			wo.Reachable = func(context.Context, string) bool { return ca.reachable[min(int(looks.Add(1)), len(ca.reachable))-1] }
+			got, err := readEvents(wo.Serve(t.Context(), wo.long()))
+			g.Expect(got).To(Equal(ca.want))
+			g.Expect(err == nil).To(Equal(got == numbered(1, 6)))
+			g.Expect(looks.Load()).To(BeNumerically(">=", len(ca.reachable)))
+		})
+	}
+}
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"time"
 
+	"github.com/jonboulle/clockwork"
+
 	"filbertstall.example/filbertstall/internal/migration"
 	"filbertstall.example/filbertstall/internal/placement"
 	"filbertstall.example/filbertstall/internal/roster"
@@ -78,6 +80,8 @@
 	// lastAt is when the last event was whole.
 	lastAt time.Time
 	moves  int
+	// stall runs while events are awaited; nil runs never.
+	stall clockwork.Timer
 }
 
 // open begins the session of a stream whose head has come.
@@ -98,6 +102,7 @@
 			se.di.leaving(en)
 		}
 	}
+	se.watch()
 	return se
 }
 
@@ -123,6 +128,7 @@
 	var buffer [readBytes]byte
 	count, err := se.answer.Read(buffer[:])
 	se.pending = append(se.pending, buffer[:count]...)
+	se.progressed()
 	se.scan()
 	if err == nil {
 		return
@@ -200,6 +206,7 @@
 // goOn goes on with a broken stream where its run was moved, or at its standby
 // copy, or ends it.
 func (se *session) goOn(cause error) {
+	se.unwatch()
 	se.answer.Close()
 	se.pending = se.pending[:se.whole]
 	if se.ctx.Err() != nil || se.moves >= maxMoves {
@@ -259,6 +266,7 @@
 		Str("target", mv.Target.ID).Str("last_event", se.last).Msg("dispatch: stream goes on")
 	di.Meter.attempt("resumed")
 	se.endpoint, se.answer, se.ticket = mv.Target, an, mv.Ticket
+	se.watch()
 	if now, known := di.Roster.View().Get(mv.Target.ID); !known || now.Leaving {
 		di.leaving(mv.Target)
 	}
@@ -290,6 +298,7 @@
 // finish ends the session's part at the endpoint.
 func (se *session) finish(ou placement.Outcome, err error) {
 	se.ended = err
+	se.unwatch()
 	se.answer.Close()
 	se.ticket.End(ou)
 	se.standby.release()
--- a/internal/upstream/answer.go
+++ b/internal/upstream/answer.go
@@ -86,6 +86,10 @@
 	an.cn.close()
 }
 
+// Abort ends a Read that waits, from any goroutine: it returns an error. Close
+// must be called all the same.
+func (an *Answer) Abort() { an.cn.close() }
+
 func newAnswer(po *Pool, cn *conn, head *fasthttp.ResponseHeader, method string) *Answer {
 	an := &Answer{Status: head.StatusCode(), pool: po, cn: cn, Framed: true}
 	an.keep = !head.ConnectionClose()
