--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -259,7 +259,7 @@
 			want = suspicion.Refuse
 		}
 		ta := &task{Request: wo.request("/post/x"), team: "team"}
-		g.Eventually(func() suspicion.Verdict { return wo.Suspects.Verdict(ta.fingerprint()) }, "5s").Should(Equal(want))
+		g.Eventually(func() suspicion.Verdict { return wo.Suspects.Verdict(ta.print()) }, "5s").Should(Equal(want))
 	}
 	runs := wo.runs()
 	g.Expect(reasonOf(wo.send("/post/x"))).To(Equal(refusal.NotSentSuspect))
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -71,6 +71,8 @@
 	// arrivals counts the attempts that may have reached an endpoint.
 	arrivals int
 	tried    map[string]bool
+	// fingerprint is the same for all sendings of a request; see suspect.go.
+	fingerprint uint64
 }
 
 // Serve answers one request. Canceling ctx gives it up.
--- a/internal/dispatch/suspect.go
+++ b/internal/dispatch/suspect.go
@@ -20,9 +20,9 @@
 	Finished(ctx context.Context, fingerprint uint64)
 }
 
-// fingerprint is the same for all sendings of a request: a crashing one comes
-// again under another ID.
-func (ta *task) fingerprint() uint64 {
+// print returns what is the same for all sendings of a request: a crashing one
+// comes again under another ID.
+func (ta *task) print() uint64 {
 	di := xxhash.New()
 	for _, part := range []string{ta.team, ta.Method, ta.Host, ta.Target} {
 		_, _ = di.WriteString(part)
@@ -34,7 +34,11 @@
 
 // suspected refuses a request that crashed the endpoints that ran it.
 func (di *Dispatcher) suspected(ta *task) *refusal.Error {
-	if di.Suspects == nil || di.Suspects.Verdict(ta.fingerprint()) != suspicion.Refuse {
+	if di.Suspects == nil {
+		return nil
+	}
+	ta.fingerprint = ta.print()
+	if di.Suspects.Verdict(ta.fingerprint) != suspicion.Refuse {
 		return nil
 	}
 	return refusal.New(refusal.NotSentSuspect, "endpoints that ran the same request crashed")
@@ -65,13 +69,13 @@
 			return
 		}
 		di.Log.Info().Str("event", "crash_suspected").Str("request", ta.ID).Str("endpoint", en.ID).Msg("dispatch: endpoint is down after it lost the request")
-		di.Suspects.Lost(context.Background(), ta.fingerprint(), suspicion.Loss{Endpoint: en.ID, Boot: strconv.FormatInt(en.Started, 10)})
+		di.Suspects.Lost(context.Background(), ta.fingerprint, suspicion.Loss{Endpoint: en.ID, Boot: strconv.FormatInt(en.Started, 10)})
 	}()
 }
 
 // finished clears a request that was answered whole.
 func (di *Dispatcher) finished(ta *task) {
-	if di.Suspects != nil && di.Suspects.Verdict(ta.fingerprint()) != suspicion.Clear {
-		go di.Suspects.Finished(context.Background(), ta.fingerprint())
+	if di.Suspects != nil && di.Suspects.Verdict(ta.fingerprint) != suspicion.Clear {
+		go di.Suspects.Finished(context.Background(), ta.fingerprint)
 	}
 }
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -18,6 +18,7 @@
 	"github.com/rs/zerolog"
 
 	"filbertstall.example/filbertstall/internal/boottime"
+	"filbertstall.example/filbertstall/internal/pause"
 )
 
 // Object is one object of a kind. Value is nil if it could not be decoded.
@@ -101,7 +102,7 @@
 			fo.listed = false
 		default:
 			fo.failed(err)
-			fo.pause(ctx)
+			fo.backOff(ctx)
 		}
 	}
 	return nil
@@ -130,7 +131,7 @@
 	}
 	fo.Sink.Contact(begun)
 	if len(changes) > 0 && fo.Gap > 0 {
-		fo.wait(ctx, fo.Gap)
+		pause.For(ctx, fo.Clock, fo.Gap)
 	}
 	return nil
 }
@@ -150,14 +151,7 @@
 	fo.Sink.Trouble(err)
 }
 
-func (fo *Follower[T]) pause(ctx context.Context) {
+func (fo *Follower[T]) backOff(ctx context.Context) {
 	bound := min(firstPause<<min(fo.failures, 8), lastPause)
-	fo.wait(ctx, bound/2+rand.N(bound/2))
-}
-
-func (fo *Follower[T]) wait(ctx context.Context, pause time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-fo.Clock.After(pause):
-	}
+	pause.For(ctx, fo.Clock, bound/2+rand.N(bound/2))
 }
--- a/internal/gateway/readiness.go
+++ b/internal/gateway/readiness.go
@@ -11,6 +11,7 @@
 	"filbertstall.example/filbertstall/internal/dispatch"
 	"filbertstall.example/filbertstall/internal/roster"
 	"filbertstall.example/filbertstall/internal/routing"
+	"filbertstall.example/filbertstall/internal/steady"
 )
 
 // readiness decides whether the platform should send callers here.
@@ -40,7 +41,7 @@
 
 // Run implements controller.Controller.
 func (ps *plainServer) Run(ctx context.Context) error {
-	se := fasthttp.Server{Handler: ps.handler, NoDefaultServerHeader: true, Logger: quietLogger{}}
+	se := fasthttp.Server{Handler: ps.handler, NoDefaultServerHeader: true, Logger: steady.QuietLogger{}}
 	stop := context.AfterFunc(ctx, func() { _ = ps.listener.Close() })
 	defer stop()
 	err := se.Serve(ps.listener)
@@ -50,12 +51,6 @@
 	return err
 }
 
-// quietLogger drops the library's lines about broken connections.
-type quietLogger struct{}
-
-// Printf implements fasthttp.Logger.
-func (quietLogger) Printf(string, ...any) {}
-
 const (
 	// tickInterval is how often state that times out is looked at.
 	tickInterval = 200 * time.Millisecond
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -61,17 +61,10 @@
 	se.server = fasthttp.Server{
 		Handler: se.serve, NoDefaultServerHeader: true, NoDefaultDate: true, NoDefaultContentType: true,
 		MaxRequestBodySize: bodyBytes, ReadBufferSize: headerBytes, ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
-		CloseOnShutdown: true, DisablePreParseMultipartForm: true, Logger: quietLogger{},
+		CloseOnShutdown: true, DisablePreParseMultipartForm: true, Logger: steady.QuietLogger{},
 	}
 }
 
-// quietLogger drops the library's lines about broken connections, which have
-// no request's id; what concerns a request is logged where it is decided.
-type quietLogger struct{}
-
-// Printf implements fasthttp.Logger.
-func (quietLogger) Printf(string, ...any) {}
-
 // Name implements controller.Controller.
 func (se *Server) Name() string { return "ingress" }
 
--- a/internal/migration/evacuation.go
+++ b/internal/migration/evacuation.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"filbertstall.example/filbertstall/internal/pause"
 	"filbertstall.example/filbertstall/internal/roster"
 )
 
@@ -43,7 +44,7 @@
 func (mo *Mover) awaitTurn(ctx context.Context, ev *evacuation) {
 	if !ev.announced {
 		ev.announced = true
-		mo.sleep(ctx, announceTime)
+		pause.For(ctx, mo.Clock, announceTime)
 	}
 	begun := mo.Clock.Now()
 	for ctx.Err() == nil {
@@ -51,6 +52,6 @@
 		if ahead == 0 || mo.Clock.Since(begun) >= turnBound(ahead) || mo.Clock.Since(ev.notice) >= lastTurn {
 			return
 		}
-		mo.sleep(ctx, turnInterval)
+		pause.For(ctx, mo.Clock, turnInterval)
 	}
 }
--- a/internal/migration/move.go
+++ b/internal/migration/move.go
@@ -14,6 +14,7 @@
 	run    *Run
 	target roster.Endpoint
 	ticket *placement.Ticket
+	// handle names the copy at the target.
 	handle string
 }
 
@@ -55,8 +56,9 @@
 		}
 		mv := &move{run: ca.run, target: target, ticket: mo.Board.Begin(target, wo)}
 		mv.ticket.Started()
-		took, err := mo.copy(ctx, ev.source, mv, false)
+		co, took, err := mo.copy(ctx, ev.source, mv, false)
 		if err == nil {
+			mv.handle = co.Handle
 			return mv
 		}
 		mv.ticket.End(placement.Done)
@@ -76,7 +78,7 @@
 // whether the move is over.
 func (mo *Mover) second(ctx context.Context, ev *evacuation, mv *move) bool {
 	en, notice := ev.source, ev.notice
-	took, err := mo.copy(ctx, en, mv, false)
+	_, took, err := mo.copy(ctx, en, mv, false)
 	if err != nil {
 		mo.abandon(en, mv)
 		return true
@@ -88,46 +90,45 @@
 		mo.abandon(en, mv)
 		return true
 	}
-	mv.handle = ""
-	took, err = mo.copy(ctx, en, mv, true)
-	stopped := mv.handle != ""
+	co, took, err := mo.copy(ctx, en, mv, true)
 	if err != nil {
 		mo.Log.Info().Str("event", "move_failed").Str("request", mv.run.ID).Str("endpoint", en.ID).Str("target", mv.target.ID).Dur("took", took).Err(err).Msg("migration: last copy failed")
-		mo.fallBack(en, mv, stopped)
+		mo.fallBack(en, mv, co.Handle)
 		return true
 	}
 	mo.Log.Info().Str("event", "moved").Str("request", mv.run.ID).Str("endpoint", en.ID).Str("target", mv.target.ID).
 		Dur("took", took).Dur("since_notice", mo.Clock.Since(notice)).Msg("migration: run stopped for its target")
-	moved := Moved{From: en, Handle: mv.handle, Target: mv.target, Ticket: mv.ticket}
+	moved := Moved{From: en, Handle: co.Handle, Target: mv.target, Ticket: mv.ticket}
 	if !mv.run.finish(&moved) {
+		mv.handle = co.Handle
 		mo.abandon(en, mv)
 	}
 	return true
 }
 
-// fallBack goes on with a run at its own engine after a last copy failed. If
-// the engine did not stop it, there is nothing to do.
-func (mo *Mover) fallBack(en roster.Endpoint, mv *move, stopped bool) {
-	mv.ticket.End(placement.Done)
-	if !stopped {
+// fallBack goes on with a run at its own engine after a last copy failed. Kept
+// names what the engine holds of a run that it stopped; it is empty if the run
+// goes on by itself, and then only the copy at the target is let go.
+func (mo *Mover) fallBack(en roster.Endpoint, mv *move, kept string) {
+	if kept == "" {
 		mv.run.finish(nil)
+		mo.abandon(en, mv)
 		return
 	}
+	mv.ticket.End(placement.Done)
 	ti := mo.Board.Begin(en, placement.Work{})
-	if !mv.run.finish(&Moved{From: en, Handle: mv.handle, Target: en, Ticket: ti}) {
+	if !mv.run.finish(&Moved{From: en, Handle: kept, Target: en, Ticket: ti}) {
 		ti.End(placement.Done)
 	}
 }
 
-func (mo *Mover) copy(ctx context.Context, en roster.Endpoint, mv *move, final bool) (time.Duration, error) {
+// copy copies what is new of a run, and returns how long that took.
+func (mo *Mover) copy(ctx context.Context, en roster.Endpoint, mv *move, final bool) (Copied, time.Duration, error) {
 	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
 	defer cancel()
 	begun := mo.Clock.Now()
 	co, err := mo.Engines.Copy(ctx, en, mv.run.ID, mv.target.Address, final)
-	if co.Handle != "" {
-		mv.handle = co.Handle
-	}
-	return mo.Clock.Since(begun), err
+	return co, mo.Clock.Since(begun), err
 }
 
 // abandon lets go of a copy.
--- a/internal/migration/mover.go
+++ b/internal/migration/mover.go
@@ -9,6 +9,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/rs/zerolog"
 
+	"filbertstall.example/filbertstall/internal/pause"
 	"filbertstall.example/filbertstall/internal/placement"
 	"filbertstall.example/filbertstall/internal/roster"
 )
@@ -148,7 +149,7 @@
 		if mo.count(en) == 0 {
 			return
 		}
-		mo.sleep(ctx, lookInterval)
+		pause.For(ctx, mo.Clock, lookInterval)
 	}
 }
 
@@ -195,10 +196,3 @@
 	}
 	return count
 }
-
-func (mo *Mover) sleep(ctx context.Context, pause time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-mo.Clock.After(pause):
-	}
-}
--- a/internal/migration/mover_test.go
+++ b/internal/migration/mover_test.go
@@ -236,6 +236,10 @@
 			g.Expect(wo.moveAll(context.Background(), ev, []candidate{ru.state()})).To(BeTrue())
 			mv, moved := ru.Await(context.Background())
 			g.Expect(moved).To(Equal(ca.moved))
+			if !moved {
+				g.Eventually(wo.engines.freedHandles, "5s").Should(HaveLen(1), "the copy at the target is freed")
+				g.Expect(wo.engines.freedHandles()[0]).To(HavePrefix("h-e"))
+			}
 			if moved {
 				g.Expect(mv.Target.ID).To(Equal("e1"))
 				g.Expect(mv.Handle).To(Equal("kept"))
--- a/internal/placement/account.go
+++ b/internal/placement/account.go
@@ -82,7 +82,7 @@
 	return ac.failures * decay(age, failureHalfLife)
 }
 
-// arrivedWithin counts arrivals in the last second.
+// arrivedLately counts arrivals in the last second.
 func (ac *account) arrivedLately(now time.Time) int {
 	first := 0
 	for first < len(ac.arrivals) && now.Sub(ac.arrivals[first]) >= time.Second {
--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -129,6 +129,9 @@
 	return lo
 }
 
+// cost returns what a request loses at an endpoint, in milliseconds, or false if
+// the endpoint may not be used now: it can't be reached, or is cold and has had
+// its share.
 func (bo *Board) cost(en roster.Endpoint, wo Work, now time.Time) (float64, bool) {
 	ac := bo.accounts[en.ID]
 	if ac == nil {
--- a/internal/relay/switch.go
+++ b/internal/relay/switch.go
@@ -13,6 +13,7 @@
 	"filbertstall.example/filbertstall/internal/controller"
 	"filbertstall.example/filbertstall/internal/feed"
 	"filbertstall.example/filbertstall/internal/loadshare"
+	"filbertstall.example/filbertstall/internal/pause"
 	"filbertstall.example/filbertstall/internal/peer"
 	"filbertstall.example/filbertstall/internal/roster"
 	"filbertstall.example/filbertstall/internal/routing"
@@ -80,7 +81,7 @@
 // Run implements controller.Controller.
 func (sw *Switch) Run(ctx context.Context) error {
 	sw.started = sw.Clock.Now()
-	sw.pause(ctx, lookInterval/4)
+	pause.For(ctx, sw.Clock, lookInterval/4)
 	for ctx.Err() == nil {
 		me, found := sw.reader()
 		if found {
@@ -89,7 +90,7 @@
 				break
 			}
 			if sw.starting() && isIgnorant(err) {
-				sw.pause(ctx, lookInterval/4)
+				pause.For(ctx, sw.Clock, lookInterval/4)
 				continue
 			}
 			sw.Logger.Info().Str("event", "reader_left").Str("reader", me.Name).Err(err).Msg("relay: reading the store directly")
@@ -152,7 +153,7 @@
 	}()
 	begun := sw.Clock.Now()
 	for ctx.Err() == nil {
-		sw.pause(ctx, lookInterval)
+		pause.For(ctx, sw.Clock, lookInterval)
 		if sw.turnedAway() && sw.Clock.Since(begun) >= lookInterval {
 			break
 		}
@@ -191,7 +192,7 @@
 // Run implements controller.Controller.
 func (de *delayed) Run(ctx context.Context) error {
 	for !de.ready() {
-		de.sw.pause(ctx, delayInterval)
+		pause.For(ctx, de.sw.Clock, delayInterval)
 		if ctx.Err() != nil {
 			return nil
 		}
@@ -313,10 +314,3 @@
 	}
 	return nil
 }
-
-func (sw *Switch) pause(ctx context.Context, pause time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-sw.Clock.After(pause):
-	}
-}
