Count what became of generations from logs

Change: filbertstall losses LOG... prints how generations ended: delivered, with pauses, with an engine that left or crashed, behind a cut, refused, with their instance.

--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -54,6 +54,7 @@
 		{"status", "Show instances, zones, capacity and running plans", &status{access: ac}},
 		{"get", "Show objects of a kind", &get{access: ac}},
 		{"trace", "Show what logs say of a request of a gateway", &trace{output: ou}},
+		{"losses", "Count what became of generations by logs of gateways", &losses{output: ou}},
 		{"explain", "Show what was decided about a request", &explain{access: ac}},
 		{"completion", "Print a script for shell completion", &completion{output: ou}},
 	}
--- a/internal/command/trace.go
+++ b/internal/command/trace.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"os"
+	"text/tabwriter"
 
 	tracing "filbertstall.example/filbertstall/internal/trace"
 	"filbertstall.example/filbertstall/platform"
@@ -21,19 +22,12 @@
 
 // Execute implements flags.Commander. It fails if no line has the request.
 func (tr *trace) Execute([]string) error {
-	readers := []io.Reader{}
-	for _, path := range tr.Args.Logs {
-		file, err := os.Open(path) //nolint:gosec // the operator names the file
-		if err != nil {
-			return fault{err}
-		}
-		defer func() { _ = file.Close() }()
-		readers = append(readers, file)
-	}
-	if len(readers) == 0 {
-		readers = append(readers, os.Stdin)
+	logs, closeLogs, err := openLogs(tr.Args.Logs)
+	if err != nil {
+		return fault{err}
 	}
-	st, err := tracing.Read(io.MultiReader(readers...), tr.Args.Request)
+	defer closeLogs()
+	st, err := tracing.Read(logs, tr.Args.Request)
 	if err != nil {
 		return fault{err}
 	}
@@ -51,6 +45,60 @@
 	return nil
 }
 
+// openLogs opens log files one behind the other, or standard input if none is
+// named.
+func openLogs(paths []string) (logs io.Reader, closeLogs func(), err error) {
+	if len(paths) == 0 {
+		return os.Stdin, func() {}, nil
+	}
+	var files []io.Closer
+	var readers []io.Reader
+	closeLogs = func() {
+		for _, file := range files {
+			_ = file.Close()
+		}
+	}
+	for _, path := range paths {
+		file, err := os.Open(path) //nolint:gosec // the operator names the file
+		if err != nil {
+			closeLogs()
+			return nil, nil, err
+		}
+		files, readers = append(files, file), append(readers, file)
+	}
+	return io.MultiReader(readers...), closeLogs, nil
+}
+
+// losses prints what became of the generations that logs tell of.
+type losses struct {
+	output
+	Args struct {
+		Logs []string `positional-arg-name:"LOG" description:"Logs of instances; standard input otherwise"`
+	} `positional-args:"true"`
+}
+
+// Execute implements flags.Commander.
+func (lo *losses) Execute([]string) error {
+	logs, closeLogs, err := openLogs(lo.Args.Logs)
+	if err != nil {
+		return fault{err}
+	}
+	defer closeLogs()
+	rows, err := tracing.Losses(logs)
+	if err != nil {
+		return fault{err}
+	}
+	tw := tabwriter.NewWriter(lo.out, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(tw, "ENDING\tCOUNT\tEVENTS\tEXAMPLE")
+	for _, ro := range rows {
+		_, _ = fmt.Fprintf(tw, "%s\t%d\t%d\t%s\n", ro.Ending, ro.Count, ro.Events, ro.Example)
+	}
+	if err := tw.Flush(); err != nil {
+		return fault{err}
+	}
+	return nil
+}
+
 // checkPlatform checks a settings file of the platform.
 func checkPlatform(ou output, path string) error {
 	se, err := platform.LoadSettings(path)
--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -7,6 +7,10 @@
 //	st, err := trace.Read(file, "9c41d07be2a35f68")
 //	for _, li := range st.Lines { fmt.Println(li) }
 //	fmt.Println(st.Cause())
+//
+// Losses counts what became of all generations, which shows where to look:
+//
+//	rows, err := trace.Losses(file)
 package trace
 
 import (
@@ -37,6 +41,8 @@
 	Cause    string `json:"cause"`
 	Error    string `json:"error"`
 	Detail   string `json:"detail"`
+	Zone     string `json:"zone"`
+	Events   int    `json:"events"`
 	Message  string `json:"message"`
 	// Raw is the line as it stands in the log.
 	Raw string `json:"-"`
@@ -75,7 +81,7 @@
 // failure.
 var around = map[string]bool{
 	"endpoint_leaves": true, "endpoint_gone": true, "endpoint_held": true, "crash_suspected": true, "dependency_lost": true,
-	"dependency_regained": true, "reader_left": true, "configuration": true, "evacuations": true, "stopping": true, "stop_cuts": true,
+	"dependency_regained": true, "engine_leaves": true, "reader_left": true, "configuration": true, "evacuations": true, "stopping": true, "stop_cuts": true,
 	"log_dropped": true,
 }
 
