--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BIN := bin
 LINT := cd tools && go build -o ../$(BIN)/golangci-lint github.com/golangci/golangci-lint/v2/cmd/golangci-lint
 
-.PHONY: all build demo up test smoke soak lint format bench capacity clean
+.PHONY: all build demo up test smoke soak soak-own lint format bench capacity clean
 
 all: build
 
@@ -21,7 +21,12 @@
 smoke: build
 	$(BIN)/filbertbench smoke --bin $(BIN) --known-red KNOWN-RED.txt
 
-soak: build
+# Random faults on gateway processes, 30 fresh seeds: about ten minutes.
+soak:
+	go test ./platform -run TestSoak -v -timeout 30m -soak.seeds 30 -soak.seconds 14
+
+# The same for our own interface, ten minutes of one seed.
+soak-own: build
 	$(BIN)/filbertbench soak --bin $(BIN)
 
 lint:
