Take configurations from the reader, and trust what it knows of endpoints for 8 s

Ruled out: shorter waits at the store (more calls from readers).

TestReaderHandsOnTheConfiguration fails before. TestProofsAgeOnTheWay and TestProofOfAnUnknownVersion said that the store is asked first; they now let the reader fail, and ask for the same proofs.

--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -170,11 +170,12 @@
 		no.state.Put(routing.New(routing.Spec{Version: 3}))
 		return nil
 	}}
+	sw.Caller = &caller{fail: errors.New("it does not hand it on")}
 	begun := no.boot.Now()
 	no.boot.Advance(1200 * time.Millisecond) // of these the reader held the call for 1 s
 	up := Update{Version: 3, ConfigurationAge: 300 * time.Millisecond, Held: time.Second}
 	g.Expect(sw.confirm(context.Background(), loadshare.Member{}, up, begun)).To(Succeed())
-	g.Expect(fetched).To(Equal(1), "a version that is not known is read from the store")
+	g.Expect(fetched).To(Equal(1), "a version that is not known, and not handed on, is read from the store")
 	age, proven := no.state.Age()
 	g.Expect(proven).To(BeTrue())
 	g.Expect(age).To(Equal(500*time.Millisecond), "300 ms at the reader and at most 200 ms on the way")
@@ -188,7 +189,7 @@
 	g := NewWithT(t)
 	no := newNode()
 	no.state.Put(routing.New(routing.Spec{Version: 2}))
-	sw := &Switch{State: &no.state, Boot: no.boot, Fetch: func(context.Context) error { return nil }}
+	sw := &Switch{State: &no.state, Boot: no.boot, Fetch: func(context.Context) error { return nil }, Caller: &caller{fail: errors.New("cut off")}}
 	g.Expect(sw.confirm(context.Background(), loadshare.Member{}, Update{Version: 3}, no.boot.Now())).To(Succeed())
 	_, proven := no.state.Age()
 	g.Expect(proven).To(BeFalse())
@@ -197,6 +198,25 @@
 	g.Expect(sw.confirm(context.Background(), loadshare.Member{}, Update{Version: 3}, no.boot.Now())).NotTo(Succeed())
 }
 
+// A reader hands on the version that it has; the store is not asked.
+func TestReaderHandsOnTheConfiguration(t *testing.T) {
+	g := NewWithT(t)
+	reader, no := newNode(), newNode()
+	reader.state.Put(routing.New(routing.Spec{Version: 3, Source: []byte("three")}))
+	sw := &Switch{
+		State: &no.state, Boot: no.boot, Log: &no.log, Caller: &caller{log: &reader.log}, Logger: zerolog.Nop(),
+		Fetch: func(context.Context) error { return errors.New("the store was asked") },
+		Decode: func(source []byte) (*routing.Configuration, error) {
+			g.Expect(string(source)).To(Equal("three"))
+			return routing.New(routing.Spec{Version: 3}), nil
+		},
+	}
+	g.Expect(sw.confirm(context.Background(), loadshare.Member{}, Update{Version: 3}, no.boot.Now())).To(Succeed())
+	g.Expect(no.state.Load().Version).To(Equal(int64(3)))
+	_, proven := no.state.Age()
+	g.Expect(proven).To(BeTrue())
+}
+
 // caller lets a switch talk to a reader's log, or fail.
 type caller struct {
 	mu   sync.Mutex
@@ -269,7 +289,8 @@
 	sw := &Switch{
 		Log: &no.log, Caller: ca, Self: "self", Zone: "a", Members: members, Alive: func(string) bool { return true },
 		Configuration: configuration, Others: nil, Roster: &no.roster, State: &no.state, Clock: clockwork.NewRealClock(), Boot: no.boot,
-		Logger: zerolog.Nop(), Fetch: func(context.Context) error {
+		Logger: zerolog.Nop(), Decode: func([]byte) (*routing.Configuration, error) { return nil, errors.New("not read here") },
+		Fetch: func(context.Context) error {
 			no.state.Put(routing.New(routing.Spec{Version: 1}))
 			return nil
 		},
--- a/internal/relay/switch.go
+++ b/internal/relay/switch.go
@@ -33,7 +33,9 @@
 	// maxConfigurationAge and maxEndpointsAge are what a reader may state: beyond,
 	// it knows no more than the store will tell.
 	maxConfigurationAge = 2500 * time.Millisecond
-	maxEndpointsAge     = 6 * time.Second
+	// maxEndpointsAge is over twice the time that one call about endpoints waits:
+	// in calm times the last answer is that old.
+	maxEndpointsAge = 8 * time.Second
 	// awayAge is the age of its own proof from which an instance asks readers of
 	// other zones, and abroadTime how long it stays with them before it tries the
 	// store again.
@@ -278,8 +280,8 @@
 // that it speaks of. The proof is as old as the reader said when it answered,
 // which was no sooner than the call's begin and the time that it held the call.
 func (sw *Switch) confirm(ctx context.Context, me loadshare.Member, up Update, begun time.Duration) error {
-	if !sw.has(up.Version) && sw.Fetch(ctx) != nil && !sw.has(up.Version) {
-		if err := sw.handedOn(ctx, me); err != nil {
+	if !sw.has(up.Version) {
+		if err := sw.catchUp(ctx, me); err != nil {
 			return err
 		}
 	}
@@ -295,8 +297,21 @@
 	return cf != nil && cf.Version >= version
 }
 
-// handedOn takes the configuration from a reader, where the store does not
-// answer this instance.
+// catchUp gets the version that a reader has, from the reader itself: with many
+// instances, each reading each version from the store is most of its load. The
+// store is asked where the reader can't hand it on.
+func (sw *Switch) catchUp(ctx context.Context, me loadshare.Member) error {
+	err := sw.handedOn(ctx, me)
+	if err == nil {
+		return nil
+	}
+	if ferr := sw.Fetch(ctx); ferr != nil {
+		return errors.Join(err, ferr)
+	}
+	return nil
+}
+
+// handedOn takes the configuration from a reader.
 func (sw *Switch) handedOn(ctx context.Context, me loadshare.Member) error {
 	ctx, cancel := context.WithTimeout(ctx, watchWait+answerTime)
 	defer cancel()
