Don't try the endpoints of a zone behind a cut one by one

Cause: after a zone was cut, generations tried four engines of other zones for 200 ms each and were refused, while engines at home were busy but in reach.

Ruled out: waiting for peers' word (it does not cross the cut either).

TestZonesBehindACut fails without it.

--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -45,6 +45,8 @@
 	// told is what each other instance said last; foreign is the sum by endpoint.
 	told    map[string]map[string]Load
 	foreign map[string]Load
+	// borders are the ways to other zones.
+	borders map[string]*border
 }
 
 // Load is what instances tell each other of an endpoint.
@@ -154,6 +156,7 @@
 	if en.Zone != home {
 		cost += wo.away()
 	}
+	cost += borderCost * bo.borders[en.Zone].failing(now)
 	lo := bo.load(en.ID)
 	if wo.Engine == nil {
 		return cost + callCost*float64(lo.Running)/float64(max(en.Slots, 1)), true
--- a/internal/placement/ticket.go
+++ b/internal/placement/ticket.go
@@ -6,6 +6,7 @@
 type Ticket struct {
 	board   *Board
 	id      string
+	zone    string
 	reading int
 	held    int
 	engine  bool
@@ -18,7 +19,7 @@
 func (bo *Board) Begin(en roster.Endpoint, wo Work) *Ticket {
 	bo.mu.Lock()
 	defer bo.mu.Unlock()
-	ti := &Ticket{board: bo, id: en.ID}
+	ti := &Ticket{board: bo, id: en.ID, zone: en.Zone}
 	ac := bo.account(en.ID)
 	ac.running++
 	ac.arrivals = append(ac.arrivals, bo.Clock.Now())
@@ -66,4 +67,5 @@
 		ac.generations--
 	}
 	ac.settle(ou, ti.board.Clock.Now())
+	ti.board.crossed(ti.zone, ou)
 }
