--- a/internal/relay/doc.go
+++ b/internal/relay/doc.go
@@ -9,10 +9,11 @@
 // some calls. An instance whose reader fails, or knows no more than itself,
 // reads the store at once.
 //
-// What is relayed is small: endpoints, zones without work and the version of
-// the configuration. The configuration itself is read from the store by each
-// instance when its version changes. A reader states how old its proof is that
-// there is no newer version, and ages are only ever rounded up on the way.
+// What is relayed is small: endpoints, zones without work, the version of the
+// configuration, and whether the store answers. An instance that lacks the
+// version asks the reader for the configuration, and the store only if the
+// reader can't hand it on. A reader states how old its proof is that there is no
+// newer version, and ages are only ever rounded up on the way.
 //
 // # Usage
 //
