Log streams that are closed before their end

Ruled out: a leak of runs; the accounts are empty after it.

Figures: TestStreamThatIsClosedEarlyIsLogged fails before.

--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"net"
@@ -9,6 +10,7 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
 
 	"filbertstall.example/filbertstall/internal/migration"
 	"filbertstall.example/filbertstall/internal/placement"
@@ -215,6 +217,24 @@
 	}
 }
 
+// A caller that is gone when its next event is written has a line of its own: a
+// stream without an end in the logs would look as if it still ran.
+func TestStreamThatIsClosedEarlyIsLogged(t *testing.T) {
+	g := NewWithT(t)
+	wo := newWorld(t, silent)
+	var log bytes.Buffer
+	wo.Log = zerolog.New(&log)
+	rp := wo.send("/stream/")
+	_, err := rp.Events.Read(make([]byte, 100))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(rp.Events.Close()).To(Succeed())
+	g.Expect(log.String()).To(ContainSubstring(`"event":"stream_given_up"`))
+	g.Expect(wo.Board.Loads()).To(BeEmpty())
+	before := log.Len()
+	g.Expect(rp.Events.Close()).To(Succeed())
+	g.Expect(log.Len()).To(Equal(before), "it ends once")
+}
+
 // moverOnce lets a stream go on at a target after its engine stopped it.
 type moverOnce struct {
 	world  *world
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -312,7 +312,7 @@
 func (se *session) Close() error {
 	se.cancel()
 	if se.ended == nil {
-		se.finish(placement.Done, errBroken)
+		se.broke(errBroken)
 	}
 	return nil
 }
