--- a/internal/migration/evacuation.go
+++ b/internal/migration/evacuation.go
@@ -15,6 +15,9 @@
 // or its first token is still to come.
 const noRunTries = 6
 
+// longTurn is the wait for a turn that is logged.
+const longTurn = 100 * time.Millisecond
+
 // evacuation is the state of the moves off one engine.
 type evacuation struct {
 	source roster.Endpoint
@@ -47,11 +50,13 @@
 		pause.For(ctx, mo.Clock, announceTime)
 	}
 	begun := mo.Clock.Now()
-	for ctx.Err() == nil {
-		ahead := mo.Turns.Ahead(ev.source.ID)
-		if ahead == 0 || mo.Clock.Since(begun) >= turnBound(ahead) || mo.Clock.Since(ev.notice) >= lastTurn {
-			return
-		}
+	ahead := mo.Turns.Ahead(ev.source.ID)
+	for ctx.Err() == nil && ahead > 0 && mo.Clock.Since(begun) < turnBound(ahead) && mo.Clock.Since(ev.notice) < lastTurn {
 		pause.For(ctx, mo.Clock, turnInterval)
+		ahead = mo.Turns.Ahead(ev.source.ID)
+	}
+	if waited := mo.Clock.Since(begun); waited >= longTurn {
+		mo.Log.Info().Str("event", "turn_waited").Str("endpoint", ev.source.ID).Int("ahead", ahead).Dur("took", waited).
+			Dur("since_notice", mo.Clock.Since(ev.notice)).Msg("migration: waited for the moves of other instances")
 	}
 }
--- a/internal/migration/move.go
+++ b/internal/migration/move.go
@@ -62,7 +62,7 @@
 			return mv
 		}
 		mv.ticket.End(placement.Done)
-		mo.Log.Info().Str("event", "copy_failed").Str("request", ca.run.ID).Str("endpoint", ev.source.ID).Str("target", target.ID).Dur("took", took).Err(err).Msg("migration: first copy failed")
+		mo.failed("copy_failed", ev.source, mv, took, err)
 		if errors.Is(err, ErrNoRun) {
 			ev.tries[ca.run] += noRunTries
 		}
@@ -80,6 +80,7 @@
 	en, notice := ev.source, ev.notice
 	_, took, err := mo.copy(ctx, en, mv, false)
 	if err != nil {
+		mo.failed("copy_failed", en, mv, took, err)
 		mo.abandon(en, mv)
 		return true
 	}
@@ -92,7 +93,7 @@
 	}
 	co, took, err := mo.copy(ctx, en, mv, true)
 	if err != nil {
-		mo.Log.Info().Str("event", "move_failed").Str("request", mv.run.ID).Str("endpoint", en.ID).Str("target", mv.target.ID).Dur("took", took).Err(err).Msg("migration: last copy failed")
+		mo.failed("move_failed", en, mv, took, err)
 		mo.fallBack(en, mv, co.Handle)
 		return true
 	}
@@ -106,6 +107,12 @@
 	return true
 }
 
+// failed logs a copy that was not made: move_failed is the event of a last one.
+func (mo *Mover) failed(event string, en roster.Endpoint, mv *move, took time.Duration, err error) {
+	mo.Log.Info().Str("event", event).Str("request", mv.run.ID).Str("endpoint", en.ID).Str("target", mv.target.ID).
+		Dur("took", took).Err(err).Msg("migration: copy failed")
+}
+
 // fallBack goes on with a run at its own engine after a last copy failed. Kept
 // names what the engine holds of a run that it stopped; it is empty if the run
 // goes on by itself, and then only the copy at the target is let go.
