Say in order why runs are moved or left

Cause: read again as a newcomer: a sentence in the comment of movable had been put into the middle of another.

--- a/internal/migration/plan.go
+++ b/internal/migration/plan.go
@@ -47,9 +47,9 @@
 func turnBound(runs int) time.Duration { return time.Duration(runs) * turnTime }
 
 // movable returns the runs that are worth a move, those with the least to copy
-// first (one whose standby copy can take over needs no move, and copies of it
-// would only delay the others): they are safe soonest, and a copy that is cut off by the engine's end
-// saves nobody.
+// first: they are safe soonest, and a copy that is cut off by the engine's end
+// saves nobody. A run whose standby copy can take over needs no move; copies of
+// it would only delay the others.
 func movable(list []candidate, sinceNotice time.Duration) []candidate {
 	kept := list[:0]
 	for _, ca := range list {
