allocation: run the tests' timers as callbacks

Callbacks of time.AfterFunc run on goroutines of their own, so that no channel timer is left in the simulation: clocktest.Clock makes timers and tickers of them, and the delay of platformfake ends with a context.

--- a/internal/allocation/world_test.go
+++ b/internal/allocation/world_test.go
@@ -8,10 +8,10 @@
 	"sync"
 	"time"
 
-	"github.com/jonboulle/clockwork"
 	"github.com/rs/zerolog"
 
 	"filbertstall.example/filbertstall/internal/admission"
+	"filbertstall.example/filbertstall/internal/clocktest"
 	"filbertstall.example/filbertstall/internal/endpoint"
 	"filbertstall.example/filbertstall/internal/platform"
 	"filbertstall.example/filbertstall/internal/platform/platformfake"
@@ -120,7 +120,7 @@
 func (wo *world) newInstance(name, zone string) *instance {
 	in := &instance{name: name}
 	store := &faultyStore{Store: wo.store, wo: wo, name: name}
-	clock := clockwork.NewRealClock()
+	clock := clocktest.New()
 	members := &Poller{Store: store, Clock: clock}
 	caller := &wire{wo: wo, from: name}
 	in.gt = &Granter{
@@ -248,7 +248,7 @@
 		select {
 		case <-crashed:
 			return admission.Lost
-		case <-time.After(min(stepTime, time.Until(end))):
+		case <-clocktest.New().After(min(stepTime, time.Until(end))):
 			ma.step(gr, crashed)
 		}
 	}
--- a/internal/platform/platformfake/fault.go
+++ b/internal/platform/platformfake/fault.go
@@ -133,12 +133,13 @@
 	if fault != Slow {
 		return nil
 	}
-	select {
-	case <-time.After(delay):
-		return nil
-	case <-ctx.Done():
-		return &platform.Error{Op: op, Key: key, Kind: platform.Unavailable, Err: ctx.Err()}
+	delayed, cancel := context.WithTimeout(ctx, delay)
+	defer cancel()
+	<-delayed.Done()
+	if err := ctx.Err(); err != nil {
+		return &platform.Error{Op: op, Key: key, Kind: platform.Unavailable, Err: err}
 	}
+	return nil
 }
 
 func (ss *sharedState) count(op string) {
