--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -6,6 +6,7 @@
 
 	"filbertstall.example/filbertstall/internal/controller"
 	"filbertstall.example/filbertstall/internal/feed"
+	"filbertstall.example/filbertstall/internal/loadshare"
 	"filbertstall.example/filbertstall/internal/roster"
 	"filbertstall.example/filbertstall/internal/routing"
 )
@@ -33,7 +34,10 @@
 }
 
 func (gw *Gateway) configurationSink() *configurationSink {
-	return &configurationSink{name: gw.Adapter.ConfigurationName, state: &gw.state, log: gw.Log, onChange: gw.relay.Observe}
+	return &configurationSink{
+		name: gw.Adapter.ConfigurationName, state: &gw.state, log: gw.Log,
+		onChange: gw.relay.Observe, onAnswer: gw.relay.ConfigurationAnswered, onFailure: gw.relay.ConfigurationFailed,
+	}
 }
 
 // followEndpointsAndEvacuations returns the controllers that watch the endpoints
@@ -51,6 +55,15 @@
 	}
 }
 
+// followMembers returns the controller that watches the registered instances in
+// the store.
+func (gw *Gateway) followMembers() controller.Controller {
+	return &feed.Follower[loadshare.Member]{
+		Kind: "members", Source: gw.Adapter.Members, Clock: gw.Clock, Boot: gw.Boot, Log: gw.Log, Wait: membersWait, BatchDelay: membersBatchDelay,
+		Sink: &memberSink{members: &gw.members, onChange: gw.relay.Observe},
+	}
+}
+
 // fetchConfiguration reads the configuration from the store once and applies it.
 func (gw *Gateway) fetchConfiguration(ctx context.Context) error {
 	start := gw.Boot.Now()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -148,7 +148,7 @@
 // draining, because it gets no current data from the store.
 func (gw *Gateway) engineStatesStale() bool {
 	age, confirmed := gw.state.Age()
-	return confirmed && (age > staleAfter || gw.roster.StoreUnresponsive() || gw.relaySwitch.StoreUnresponsive())
+	return confirmed && (age > staleAfter || gw.relay.StoreUnresponsive())
 }
 
 // build creates the components of the instance and returns its controllers.
@@ -162,7 +162,7 @@
 	engines := gw.Adapter.Engines(&gw.pool)
 	mover := &migration.Mover{Engines: engines, Roster: &gw.roster, Tracker: &gw.tracker, Clock: gw.Clock, Log: gw.Log, MoveOrder: &gw.moveOrder}
 	gw.roster = roster.Roster{Clock: gw.Clock, Log: gw.Log, OnLeave: mover.Evacuate, OnChange: gw.relay.Observe}
-	gw.relay = relay.Log{Boot: gw.Boot, Roster: &gw.roster, State: &gw.state, Now: gw.Clock.Now, Epoch: gw.Clock.Now().UnixNano()}
+	gw.relay = relay.Log{Boot: gw.Boot, Roster: &gw.roster, State: &gw.state, Members: &gw.members, Now: gw.Clock.Now, Epoch: gw.Clock.Now().UnixNano()}
 	gw.suspects = &suspicion.Registry{Caller: &peer.Client{}, Peers: gw.crashRecipients, Clock: gw.Clock}
 	hangups := &hangup.Watcher{Clock: gw.Clock}
 	di := &dispatch.Dispatcher{
--- a/internal/gateway/registration.go
+++ b/internal/gateway/registration.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -9,27 +11,44 @@
 
 	"filbertstall.example/filbertstall/internal/feed"
 	"filbertstall.example/filbertstall/internal/loadshare"
+	"filbertstall.example/filbertstall/internal/pause"
 )
 
-// Registry writes the list of instances that is kept in the platform's store.
+// Registry reads and writes the list of instances that is kept in the platform's
+// store.
 type Registry interface {
 	// Register creates the entry of an instance or replaces the one of the same
 	// name.
 	Register(me loadshare.Member) error
-	// Withdraw removes the entry of an instance. A Gateway does not call it.
-	Withdraw(name string) error
+	// Registered returns the registered instances as they were up to a few
+	// seconds ago. Such a call costs the store less than others.
+	Registered(ctx context.Context) ([]loadshare.Member, error)
 }
 
-// registerRetryDelay is the delay before a failed registration is retried.
-const registerRetryDelay = time.Second
+const (
+	// minRegistrationBackoff and maxRegistrationBackoff bound the pause after a
+	// failed call.
+	minRegistrationBackoff = 200 * time.Millisecond
+	maxRegistrationBackoff = time.Second
+	// joinDelay is the time between the registration of a new instance and its
+	// first complete list of the others. Many new instances start together.
+	joinDelay = 1500 * time.Millisecond
+)
 
-// registration is the controller that registers this instance once, retrying
-// until the write succeeds.
+// registration is the controller that makes this instance and the others known
+// to each other: it registers this one and reads which others there are. Later
+// instances are learned from the instance that reads the store (see package
+// relay).
 type registration struct {
 	registry Registry
-	self     loadshare.Member
-	clock    clockwork.Clock
-	log      zerolog.Logger
+	// source lists the registered instances as they are now.
+	source  feed.Source[loadshare.Member]
+	members *loadshare.Members
+	self    loadshare.Member
+	// known is closed once members is filled.
+	known chan struct{}
+	clock clockwork.Clock
+	log   zerolog.Logger
 }
 
 // Name implements controller.Controller.
@@ -37,26 +56,66 @@
 
 // Run implements controller.Controller.
 func (re *registration) Run(ctx context.Context) error {
-	for ctx.Err() == nil {
-		err := re.registry.Register(re.self)
+	if re.repeat(ctx, re.join) {
+		re.log.Info().Str("event", "registered").Str("address", re.self.Address.String()).Int("instances", len(re.members.List())).Msg("gateway: instance registered in the store")
+		close(re.known)
+	}
+	<-ctx.Done()
+	return nil
+}
+
+// repeat calls step until it succeeds, and reports whether it did before ctx
+// ended.
+func (re *registration) repeat(ctx context.Context, step func(ctx context.Context) error) bool {
+	for wait := minRegistrationBackoff; ctx.Err() == nil; wait = min(2*wait, maxRegistrationBackoff) {
+		err := step(ctx)
 		if err == nil {
-			re.log.Info().Str("event", "registered").Str("address", re.self.Address.String()).Msg("gateway: instance registered in the store")
-			break
+			return true
 		}
 		re.log.Warn().Str("event", "not_registered").Err(err).Msg("gateway: registration failed, retrying")
-		select {
-		case <-ctx.Done():
-		case <-re.clock.After(registerRetryDelay):
-		}
+		pause.For(ctx, re.clock, wait/2+rand.N(wait/2))
+	}
+	return false
+}
+
+// join registers this instance, unless it was registered before its last start,
+// and fills the list of instances.
+func (re *registration) join(ctx context.Context) error {
+	list, err := re.registry.Registered(ctx)
+	if err != nil {
+		return err
+	}
+	if slices.Contains(list, re.self) {
+		re.members.Add(list)
+		return nil
+	}
+	if err := re.registry.Register(re.self); err != nil {
+		return err
+	}
+	pause.For(ctx, re.clock, joinDelay)
+	if !re.repeat(ctx, re.list) {
+		return ctx.Err()
 	}
-	<-ctx.Done()
+	return nil
+}
+
+// list reads the current list of instances.
+func (re *registration) list(ctx context.Context) error {
+	list, _, err := re.source.List(ctx)
+	if err != nil {
+		return err
+	}
+	sink := memberSink{members: re.members}
+	sink.Reset(list)
 	return nil
 }
 
 // memberSink updates the list of instances from the store.
 type memberSink struct {
 	members *loadshare.Members
-	byName  map[string]loadshare.Member
+	// onChange is called after the list has changed. It may be nil.
+	onChange func()
+	byName   map[string]loadshare.Member
 }
 
 // Reset implements feed.Sink.
@@ -100,4 +159,7 @@
 		list = append(list, me)
 	}
 	ms.members.Set(list)
+	if ms.onChange != nil {
+		ms.onChange()
+	}
 }
--- a/internal/gateway/share.go
+++ b/internal/gateway/share.go
@@ -5,7 +5,6 @@
 	"net/netip"
 
 	"filbertstall.example/filbertstall/internal/controller"
-	"filbertstall.example/filbertstall/internal/feed"
 	"filbertstall.example/filbertstall/internal/loadshare"
 	"filbertstall.example/filbertstall/internal/peer"
 	"filbertstall.example/filbertstall/internal/relay"
@@ -26,16 +25,16 @@
 		// Register fails only for a service without suitable methods.
 		panic(err)
 	}
+	known := make(chan struct{})
 	gw.relaySwitch = relay.Switch{
-		Log: &gw.relay, Caller: &peer.Client{}, Self: se.Instance, Zone: se.Zone, Members: &gw.members, Alive: exchange.IsAlive,
-		Configuration: gw.followConfiguration(), Others: gw.followEndpointsAndEvacuations(), Fetch: gw.fetchConfiguration, Decode: gw.Adapter.DecodeConfiguration,
+		Log: &gw.relay, Caller: &peer.Client{}, Self: self, Members: &gw.members, Registered: known, Alive: exchange.IsAlive,
+		Configuration: gw.followConfiguration(), Others: append(gw.followEndpointsAndEvacuations(), gw.followMembers()),
+		Fetch: gw.fetchConfiguration, Decode: gw.Adapter.DecodeConfiguration,
 		Roster: &gw.roster, State: &gw.state, Clock: gw.Clock, Boot: gw.Boot, Logger: gw.Log,
 	}
 	return []controller.Controller{
-		&registration{registry: gw.Adapter.Registry, self: self, clock: gw.Clock, log: gw.Log},
-		&feed.Follower[loadshare.Member]{
-			Kind: "members", Source: gw.Adapter.Members, Clock: gw.Clock, Boot: gw.Boot, Log: gw.Log, Wait: membersWait, BatchDelay: membersBatchDelay,
-			Sink: &memberSink{members: &gw.members},
+		&registration{
+			registry: gw.Adapter.Registry, source: gw.Adapter.Members, members: &gw.members, self: self, known: known, clock: gw.Clock, log: gw.Log,
 		},
 		exchange, peers, gw.suspects,
 		&gw.relaySwitch,
--- a/internal/gateway/sink.go
+++ b/internal/gateway/sink.go
@@ -20,6 +20,9 @@
 	// onChange is called after a new configuration has taken effect. It may be
 	// nil.
 	onChange func()
+	// onAnswer and onFailure are called after each call that the store answered
+	// or that failed.
+	onAnswer, onFailure func()
 }
 
 // Reset implements feed.Sink.
@@ -39,7 +42,10 @@
 }
 
 // CallAnswered implements feed.Sink.
-func (cs *configurationSink) CallAnswered(start time.Duration) { cs.state.Confirm(start) }
+func (cs *configurationSink) CallAnswered(start time.Duration) {
+	cs.state.Confirm(start)
+	cs.onAnswer()
+}
 
 // endpointSink updates the roster. It also reports answered calls to the relay log,
 // so that other instances learn how old the roster is.
@@ -56,7 +62,7 @@
 }
 
 // CallFailed implements feed.Sink.
-func (*configurationSink) CallFailed(error) {}
+func (cs *configurationSink) CallFailed(error) { cs.onFailure() }
 
 func (cs *configurationSink) apply(ob feed.Object[routing.Configuration]) {
 	if ob.Name != cs.name {
--- a/internal/loadshare/member.go
+++ b/internal/loadshare/member.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 
 	"filbertstall.example/filbertstall/internal/snapshot"
 )
@@ -25,6 +26,34 @@
 // Set replaces the list.
 func (ms *Members) Set(list []Member) { ms.holder.Store(&list) }
 
+// Add adds instances to the list, or replaces those of the same name, and reports
+// whether that changed anything.
+func (ms *Members) Add(added []Member) bool {
+	list := slices.Clone(ms.List())
+	index := make(map[string]int, len(list))
+	for ix, me := range list {
+		index[me.Name] = ix
+	}
+	changed := false
+	for _, me := range added {
+		ix, known := index[me.Name]
+		switch {
+		case !known:
+			index[me.Name] = len(list)
+			list = append(list, me)
+		case list[ix] != me:
+			list[ix] = me
+		default:
+			continue
+		}
+		changed = true
+	}
+	if changed {
+		ms.Set(list)
+	}
+	return changed
+}
+
 // List returns the current list, which the caller must not change.
 func (ms *Members) List() []Member {
 	if list := ms.holder.Load(); list != nil {
--- /dev/null
+++ b/internal/relay/direct.go
@@ -0,0 +1,144 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"filbertstall.example/filbertstall/internal/controller"
+	"filbertstall.example/filbertstall/internal/pause"
+)
+
+const (
+	// directCheckInterval is the interval at which a reader checks whether it can
+	// go on.
+	directCheckInterval = 200 * time.Millisecond
+	// firstAnswerTimeout is how long a new reader waits for the store's first
+	// answer.
+	firstAnswerTimeout = 1300 * time.Millisecond
+	// maxFailures is the number of failed calls in a row after which a reader
+	// gives up, provided that the store's last confirmation is older than
+	// failedConfirmationAge. A reader that the store turns away notices that
+	// sooner than one that gets no answer.
+	maxFailures           = 2
+	failedConfirmationAge = 1500 * time.Millisecond
+	// relieveInterval is the interval at which a reader that is not the first
+	// candidate asks the first one whether that reads the store.
+	relieveInterval = 3 * time.Second
+	// lapseTime is the age of the store's last confirmation beyond which entries
+	// may be missing from the store because their endpoints could not renew them
+	// during an outage.
+	lapseTime = 3 * time.Second
+)
+
+var errLongUnconfirmed = errors.New("relay: the store has not confirmed anything for longer than entries last")
+
+// readDirectly follows the store until the store does not answer any more, or
+// the first candidate of the zone reads it.
+func (sw *Switch) readDirectly(ctx context.Context) {
+	begun := sw.Boot.Now()
+	sw.Log.setRole(role{direct: true})
+	sw.Log.ConfigurationAnswered()
+	if age, confirmed := sw.State.Age(); confirmed && age > lapseTime {
+		sw.Roster.CallFailed(errLongUnconfirmed)
+	}
+	sw.Logger.Info().Str("event", "reading_store").Msg("relay: reading the store for this zone")
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		gr := controller.Group{Controllers: append([]controller.Controller{sw.Configuration}, sw.delayed()...)}
+		if err := gr.Run(ctx); err != nil {
+			sw.Logger.Error().Str("event", "store_not_followed").Err(err).Msg("relay: controllers that follow the store stopped with an error")
+		}
+	}()
+	unable := sw.awaitReplacement(ctx)
+	if unable {
+		sw.skipSelf(sw.confirmedSince(begun))
+		age, _ := sw.State.Age()
+		sw.Logger.Info().Str("event", "store_not_readable").Dur("age", age).Msg("relay: the store does not answer; leaving it to the next candidate of the zone")
+	}
+	sw.Log.setRole(role{unable: unable})
+	cancel()
+	<-done
+}
+
+// awaitReplacement waits until this instance no longer reads the store for its
+// zone, and reports whether the reason is that the store does not answer.
+func (sw *Switch) awaitReplacement(ctx context.Context) (unable bool) {
+	begun, beganAt := sw.Clock.Now(), sw.Boot.Now()
+	asked := begun
+	for ctx.Err() == nil {
+		sw.pause(ctx, directCheckInterval)
+		if sw.isUnable(sw.confirmedSince(beganAt), sw.Clock.Since(begun)) {
+			return true
+		}
+		if sw.Clock.Since(asked) >= relieveInterval {
+			asked = sw.Clock.Now()
+			if sw.isRelieved(ctx) {
+				return false
+			}
+		}
+	}
+	return false
+}
+
+// isUnable reports whether the store does not answer this instance. It has read
+// the store for the given time, and answered tells whether it got any answer.
+func (sw *Switch) isUnable(answered bool, reading time.Duration) bool {
+	age, _ := sw.State.Age()
+	failing := sw.Log.currentFailures() >= maxFailures
+	if !answered {
+		return failing || reading > firstAnswerTimeout
+	}
+	return age > maxOwnConfirmationAge || failing && age > failedConfirmationAge
+}
+
+// isRelieved reports whether the first candidate of the zone is another instance
+// that reads the store.
+func (sw *Switch) isRelieved(ctx context.Context) bool {
+	first := sw.candidates()[0]
+	if first.Name == sw.Self.Name || sw.skips(first.Name) {
+		return false
+	}
+	var st Status
+	if err := sw.call(ctx, first, "Status", None{}, &st); err != nil {
+		sw.skip(first.Name)
+		return false
+	}
+	return st.Direct && st.check() == nil
+}
+
+// delayed wraps the other controllers so that they start once the store has
+// confirmed the configuration. During an outage of the store only one
+// controller calls it.
+func (sw *Switch) delayed() []controller.Controller {
+	begun := sw.Boot.Now()
+	list := make([]controller.Controller, 0, len(sw.Others))
+	for _, co := range sw.Others {
+		list = append(list, &delayed{Controller: co, ready: func() bool { return sw.confirmedSince(begun) }, sw: sw})
+	}
+	return list
+}
+
+// delayed is a controller that starts once ready returns true.
+type delayed struct {
+	controller.Controller
+	ready func() bool
+	sw    *Switch
+}
+
+// delayedPollInterval is the interval at which delayed calls ready.
+const delayedPollInterval = 20 * time.Millisecond
+
+// Run implements controller.Controller.
+func (de *delayed) Run(ctx context.Context) error {
+	for !de.ready() {
+		pause.For(ctx, de.sw.Clock, delayedPollInterval)
+		if ctx.Err() != nil {
+			return nil
+		}
+	}
+	return de.Controller.Run(ctx)
+}
--- a/internal/relay/doc.go
+++ b/internal/relay/doc.go
@@ -1,26 +1,36 @@
-// Package relay lets a few instances read the store on behalf of all. The
-// store counts each call and each pending watch against its rate limits, which
-// grow more slowly than the number of instances.
+// Package relay lets a few instances read the store on behalf of all. The store
+// counts each call and each pending watch against its rate limits, which grow
+// more slowly than the number of instances.
 //
 // In each availability zone one instance, the reader, follows the store. The
-// others wait at the reader for changes. The reader is the instance of the zone
-// with the fastest link among those seen recently, so that no agreement is
-// needed: if two instances choose different readers, both work, at the cost of
-// some additional calls. An instance reads the store at once if its reader
-// fails, does not read the store itself, or has state that is too old. Shortly
-// after its start it waits for a reader that is not ready yet.
+// others wait at the reader for changes. All instances rank the candidates of
+// their zone in the same way, those with the fastest link first, so that no
+// agreement is needed: if two instances choose different readers, both work, at
+// the cost of some additional calls.
 //
-// The relayed state is small: endpoints, evacuated zones, the version of the
-// configuration, and whether the store answers. An instance that lacks the
-// version fetches the configuration from the reader, and from the store only if
-// the reader cannot provide it. A reader reports the age of the store's last
-// confirmation that there is no newer version. Instances never underestimate
-// this age.
+// A candidate that fails is passed over for some time, and the next one takes its
+// place: a reader that the store does not answer says so, and its followers and
+// the next candidate come to the same conclusion at the same time. Only a
+// candidate whose turn it is calls the store, so that calls grow with the number
+// of zones and not with that of instances. A reader is followed as long as it
+// reads. It steps down when the first candidate reads again.
+//
+// An instance may also be followed while it follows another one. So an instance
+// that the store or the network keeps from its reader gets the state through a
+// neighbor, or from the readers of other zones if nobody in its own zone has it.
+// Each update reports how old the store's confirmations are, and how many
+// instances are between the sender and the store. Instances never underestimate
+// these ages.
+//
+// The relayed state is small: endpoints, registered instances, evacuated zones,
+// the version of the configuration, and whether the store answers. An instance
+// that lacks the version fetches the configuration from the sender of the update,
+// and from the store only if the sender cannot provide it.
 //
 // # Usage
 //
-//	lo := &relay.Log{Boot: boot, Roster: ro, State: st, Now: clock.Now, Epoch: epoch}
+//	lo := &relay.Log{Boot: boot, Roster: ro, State: st, Members: members, Now: clock.Now, Epoch: epoch}
 //	err := peers.Register(relay.ServiceName, lo.Service())
-//	sw := &relay.Switch{Log: lo, Caller: caller, Members: members, ...}
+//	sw := &relay.Switch{Log: lo, Caller: caller, Self: self, Members: members, ...}
 //	err = sw.Run(ctx) // a controller.Controller
 package relay
--- /dev/null
+++ b/internal/relay/follow.go
@@ -0,0 +1,250 @@
+package relay
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"time"
+
+	"filbertstall.example/filbertstall/internal/loadshare"
+	"filbertstall.example/filbertstall/internal/peer"
+)
+
+const (
+	// watchWait is how long a reader may hold a call open for a change, and
+	// relayedWatchWait how long an instance may that follows a reader itself. The
+	// latter is shorter because its state is older already.
+	watchWait        = time.Second
+	relayedWatchWait = 300 * time.Millisecond
+	// responseMargin is the time beyond these that a call may take.
+	responseMargin = 700 * time.Millisecond
+	// readyTimeout is how long a candidate that reads the store, or starts, may
+	// take until it can be followed, idleTimeout how long one may that does not
+	// read it yet, and readyPollInterval the interval at which they are asked.
+	readyTimeout      = 1500 * time.Millisecond
+	idleTimeout       = 500 * time.Millisecond
+	readyPollInterval = 100 * time.Millisecond
+	// urgentAge is the age of its own confirmation beyond which an instance does
+	// not wait for a candidate. Keys are accepted for about two seconds longer.
+	urgentAge = 3 * time.Second
+	// maxHops is the largest number of instances between a candidate and the
+	// store with which the candidate is followed.
+	maxHops = 2
+	// maxConfigurationAge, maxRelayedConfigurationAge and maxEndpointsAge are the
+	// largest ages with which a reader, an instance that follows a reader, and
+	// either of them are followed. Beyond them another candidate is the better
+	// source.
+	maxConfigurationAge        = 2500 * time.Millisecond
+	maxRelayedConfigurationAge = 3200 * time.Millisecond
+	// maxEndpointsAge is over twice the time that one call about endpoints
+	// waits. Without changes, the call that the store answered last was sent up
+	// to two such waits ago.
+	maxEndpointsAge = 8 * time.Second
+)
+
+var (
+	errStale     = errors.New("relay: the candidate's state is too old")
+	errIdle      = errors.New("relay: the candidate does not read the store, and its state is too old")
+	errUnable    = errors.New("relay: the candidate cannot read the store")
+	errCircular  = errors.New("relay: the candidate follows this instance")
+	errTooFar    = errors.New("relay: too many instances between the candidate and the store")
+	errUrgent    = errors.New("relay: the candidate is not ready, and this instance cannot wait")
+	errOwnTurn   = errors.New("relay: this instance is now the reader of the zone")
+	errOtherTurn = errors.New("relay: another instance is now the reader of the zone")
+)
+
+// isFailure reports whether follow returned because the candidate failed, and not
+// because another instance is to be followed first.
+func isFailure(err error) bool {
+	return !errors.Is(err, errOwnTurn) && !errors.Is(err, errOtherTurn) && !errors.Is(err, errUrgent)
+}
+
+// check returns an error if the sender of a status is not worth following.
+func (st Status) check() error {
+	maxAge := maxConfigurationAge
+	if !st.Direct {
+		maxAge = maxRelayedConfigurationAge
+	}
+	stale := st.ConfigurationAge > maxAge || st.EndpointsAge > maxEndpointsAge
+	switch {
+	case st.Unable && st.Hops == 0:
+		return errUnable
+	case stale && !st.Direct:
+		return errIdle
+	case stale:
+		return errStale
+	case st.Hops > maxHops:
+		return errTooFar
+	default:
+		return nil
+	}
+}
+
+// follow applies the updates of a candidate. It returns when a call fails, an
+// update shows that the candidate is not worth following, or its configuration
+// cannot be fetched. If own is set, the candidate is one of this zone: it may take
+// some time until its first good update, and follow also returns when another
+// instance is to be followed.
+func (sw *Switch) follow(ctx context.Context, me loadshare.Member, own bool) error {
+	defer sw.Log.setStoreSilent(false)
+	begun := sw.Clock.Now()
+	qu := Query{Members: true}
+	following := false
+	for ctx.Err() == nil {
+		up, err := sw.update(ctx, me, qu)
+		if own && !following && sw.Clock.Since(begun) < sw.patience(err) {
+			if sw.isUrgent() {
+				return errUrgent
+			}
+			sw.pause(ctx, readyPollInterval)
+			continue
+		}
+		if err != nil {
+			return err
+		}
+		if !following {
+			following = true
+			sw.Logger.Info().Str("event", "reader_followed").Str("reader", me.Name).Int("hops", up.Hops).Msg("relay: following a reader")
+		}
+		qu = nextQuery(up)
+		if err := sw.handover(me, up, own); err != nil {
+			return err
+		}
+	}
+	return ctx.Err()
+}
+
+// patience returns how long a candidate of this zone may answer with this error
+// until it is given up. It may be about to read the store, or to start.
+func (sw *Switch) patience(err error) time.Duration {
+	switch {
+	case errors.Is(err, errStale), sw.starting() && peer.IsKind(err, peer.Unreachable):
+		return readyTimeout
+	case errors.Is(err, errIdle), errors.Is(err, errCircular):
+		return idleTimeout
+	default:
+		return 0
+	}
+}
+
+// isUrgent reports whether the state of this instance is about to become
+// unusable.
+func (sw *Switch) isUrgent() bool {
+	age, confirmed := sw.State.Age()
+	return confirmed && age > urgentAge
+}
+
+// nextQuery returns the query that follows an update.
+func nextQuery(up Update) Query {
+	qu := Query{Epoch: up.Epoch, Sequence: up.Sequence, Members: true, MembersSequence: up.MembersSequence, Wait: watchWait}
+	if !up.Direct {
+		qu.Wait = relayedWatchWait
+	}
+	return qu
+}
+
+// handover returns an error if, after an update of the candidate me, another
+// instance is to be followed. A reader is followed as long as it reads, even if
+// it is no longer the first candidate.
+func (sw *Switch) handover(me loadshare.Member, up Update, own bool) error {
+	switch {
+	case !own:
+		return nil
+	case sw.isFirst():
+		return errOwnTurn
+	case !up.Direct && sw.choose().Name != me.Name:
+		return errOtherTurn
+	default:
+		return nil
+	}
+}
+
+// update makes one call to a candidate and applies the answer.
+func (sw *Switch) update(ctx context.Context, me loadshare.Member, qu Query) (Update, error) {
+	begun := sw.Boot.Now()
+	var up Update
+	if err := sw.call(ctx, me, "Watch", qu, &up); err != nil {
+		return up, err
+	}
+	if err := up.check(); err != nil {
+		return up, err
+	}
+	if up.Reader == sw.Self.Name {
+		return up, errCircular
+	}
+	sw.apply(up)
+	// The candidate answered no earlier than this.
+	answered := begun + up.Held
+	sw.Log.CallAnswered(answered - up.EndpointsAge)
+	sw.Log.setRole(role{hops: up.Hops + 1, reader: cmp.Or(up.Reader, me.Name)})
+	return up, sw.confirm(ctx, me, up, answered)
+}
+
+func (sw *Switch) call(ctx context.Context, me loadshare.Member, method string, args, reply any) error {
+	ctx, cancel := context.WithTimeout(ctx, watchWait+responseMargin)
+	defer cancel()
+	return sw.Caller.Call(ctx, me.Address.String(), ServiceName+"."+method, args, reply)
+}
+
+// apply passes an update to the roster and to the list of instances.
+func (sw *Switch) apply(up Update) {
+	sw.Log.setStoreSilent(up.Silent)
+	sw.Roster.Replicate(up.Full, up.Endpoints, up.Removed)
+	sw.Roster.SetEvacuatedZones(up.Zones)
+	if len(up.Members) > 0 && sw.Members.Add(up.Members) {
+		sw.Log.Observe()
+	}
+}
+
+// confirm applies the candidate's confirmation, once this instance has the
+// version that it refers to. The candidate answered no earlier than at the boot
+// time answered, and the confirmation had the reported age at that moment.
+func (sw *Switch) confirm(ctx context.Context, me loadshare.Member, up Update, answered time.Duration) error {
+	if !sw.hasVersion(up.Version) {
+		if err := sw.fetchConfiguration(ctx, me); err != nil {
+			return err
+		}
+	}
+	if sw.hasVersion(up.Version) {
+		sw.State.Confirm(answered - up.ConfigurationAge)
+	}
+	return nil
+}
+
+// hasVersion reports whether this version or a newer one is in force.
+func (sw *Switch) hasVersion(version int64) bool {
+	cf := sw.State.Load()
+	return cf != nil && cf.Version >= version
+}
+
+// fetchConfiguration fetches the configuration from the candidate, and from the
+// store only if that fails. If each of many instances read each version from the
+// store, these reads would be most of the store's load.
+func (sw *Switch) fetchConfiguration(ctx context.Context, me loadshare.Member) error {
+	err := sw.fetchFromReader(ctx, me)
+	if err == nil {
+		return nil
+	}
+	if ferr := sw.Fetch(ctx); ferr != nil {
+		return errors.Join(err, ferr)
+	}
+	return nil
+}
+
+// fetchFromReader fetches the configuration from a reader and brings it into
+// force if it is newer.
+func (sw *Switch) fetchFromReader(ctx context.Context, me loadshare.Member) error {
+	var te Text
+	if err := sw.call(ctx, me, "Configuration", None{}, &te); err != nil {
+		return err
+	}
+	cf, err := sw.Decode(te.Source)
+	if err != nil {
+		return err
+	}
+	if sw.State.Put(cf) {
+		sw.Logger.Info().Str("event", "configuration").Int64("version", cf.Version).Str("reader", me.Name).Msg("relay: applied a configuration received from a reader")
+		sw.Log.Observe()
+	}
+	return nil
+}
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"filbertstall.example/filbertstall/internal/boottime"
+	"filbertstall.example/filbertstall/internal/loadshare"
 	"filbertstall.example/filbertstall/internal/roster"
 	"filbertstall.example/filbertstall/internal/routing"
 )
@@ -17,122 +18,161 @@
 	// request all endpoints.
 	Epoch    int64
 	Sequence uint64
+	// Members requests the registered instances, too: those that changed after
+	// MembersSequence, which is that of the last update received.
+	Members         bool
+	MembersSequence uint64
 	// Wait is how long the reader may hold the call open for a change.
 	Wait time.Duration
 }
 
 // Update is a reader's answer to a Query.
 type Update struct {
+	Status
+
 	Epoch    int64
 	Sequence uint64
-	// Direct reports that the sender reads the store itself, Silent that the
-	// store has not answered the sender since the sender's last failed call.
-	Direct bool
+	// Silent reports that the store has not answered the sender, or the reader
+	// that the sender follows, since the last failed call.
 	Silent bool
 	// Full reports that Endpoints holds all endpoints, not only the changed
 	// ones.
 	Full      bool
 	Endpoints []roster.Endpoint
 	Removed   []string
+	// Members are the registered instances that were added or changed, or all of
+	// them. An instance stays registered when it stops.
+	Members         []loadshare.Member
+	MembersSequence uint64
 	// Zones are all zones that operators have evacuated.
 	Zones []string
 	// Version is the version of the configuration in force at the sender.
 	Version int64
-	// ConfigurationAge and EndpointsAge are the time since the store last
-	// confirmed the configuration and the endpoints to the sender.
-	ConfigurationAge time.Duration
-	EndpointsAge     time.Duration
 	// Held is how long the sender held the call open.
 	Held time.Duration
 }
 
-// maxLogChanges is the number of newest changes that remain when the log is
-// trimmed, which happens above twice that number. An instance that is further
-// behind gets a full update.
-const maxLogChanges = 1024
-
-// Log records the changes of the endpoints and serves them to other instances.
-// Set the exported fields before use. It is safe for concurrent use.
+// Log records the changes of the endpoints and of the registered instances, and
+// serves them to other instances. Set the exported fields before use. It is safe
+// for concurrent use.
 type Log struct {
-	Boot   boottime.Clock
-	Roster *roster.Roster
-	State  *routing.State
+	Boot    boottime.Clock
+	Roster  *roster.Roster
+	State   *routing.State
+	Members *loadshare.Members
 	// Now is the clock to which the end of a cold start refers.
 	Now func() time.Time
 	// Epoch distinguishes this process from earlier ones of the same instance.
 	Epoch int64
 
-	mu                sync.Mutex
-	sequence          uint64
-	endpoints         map[string]roster.Endpoint
-	zones             []string
-	version           int64
-	storeUnresponsive bool
-	// changed holds the IDs of changed endpoints, oldest first. The last entry is
-	// the change with the number sequence. An empty ID means a change of anything
-	// other than endpoints.
-	changed []string
-	wake    chan struct{}
-	direct  bool
+	mu        sync.Mutex
+	endpoints history[roster.Endpoint]
+	members   history[loadshare.Member]
+	zones     []string
+	version   int64
+	silent    bool
+	wake      chan struct{}
+	role      role
+	// storeSilent is set while the reader that this instance follows gets no
+	// answers from the store.
+	storeSilent bool
+	// failures is the number of calls about the configuration that failed since
+	// the last answered one.
+	failures int
 	// lastAnswer is the boot time at which the last answered call about
 	// endpoints was sent; zero if there is none.
 	lastAnswer time.Duration
 }
 
-// Observe records the differences to the current state of Roster and State.
+// role tells from where an instance gets its state.
+type role struct {
+	// direct is set while the instance reads the store itself.
+	direct bool
+	// unable is set after the store did not answer, until the next attempt.
+	unable bool
+	// hops is the number of instances between this one and the store, and reader
+	// the one of them that reads it.
+	hops   int
+	reader string
+}
+
+// Observe records the differences to the current state of Roster, State and
+// Members.
 func (lo *Log) Observe() {
 	vi := lo.Roster.View()
 	version := int64(0)
 	if cf := lo.State.Load(); cf != nil {
 		version = cf.Version
 	}
+	silent := lo.StoreUnresponsive()
 	lo.mu.Lock()
 	defer lo.mu.Unlock()
-	before := lo.sequence
-	lo.compare(vi.All())
-	storeUnresponsive := lo.Roster.StoreUnresponsive()
-	if zones := vi.Evacuated(); version != lo.version || storeUnresponsive != lo.storeUnresponsive || !slices.Equal(zones, lo.zones) {
-		lo.zones, lo.version, lo.storeUnresponsive = zones, version, storeUnresponsive
-		lo.appendChange("")
-	}
-	if lo.sequence != before && lo.wake != nil {
+	endpointsBefore, membersBefore := lo.endpoints.sequence, lo.members.sequence
+	lo.endpoints.observe(vi.All())
+	lo.members.observe(lo.membersByName())
+	if zones := vi.Evacuated(); version != lo.version || silent != lo.silent || !slices.Equal(zones, lo.zones) {
+		lo.zones, lo.version, lo.silent = zones, version, silent
+		lo.endpoints.append("")
+	}
+	if lo.endpoints.sequence != endpointsBefore || lo.members.sequence != membersBefore {
+		lo.wakeAll()
+	}
+}
+
+func (lo *Log) membersByName() map[string]loadshare.Member {
+	byName := make(map[string]loadshare.Member)
+	if lo.Members == nil {
+		return byName
+	}
+	for _, me := range lo.Members.List() {
+		byName[me.Name] = me
+	}
+	return byName
+}
+
+// wakeAll answers all held calls. The caller holds mu.
+func (lo *Log) wakeAll() {
+	if lo.wake != nil {
 		close(lo.wake)
 		lo.wake = nil
 	}
 }
 
-// compare records the endpoints that differ from the last recorded ones.
-func (lo *Log) compare(all map[string]roster.Endpoint) {
-	if lo.endpoints == nil {
-		lo.endpoints = make(map[string]roster.Endpoint)
-	}
-	for id, en := range all {
-		if old, known := lo.endpoints[id]; !known || old != en {
-			lo.endpoints[id] = en
-			lo.appendChange(id)
-		}
+// setRole records from where this instance gets its state. Followers learn at
+// once of a reader that stops reading.
+func (lo *Log) setRole(ro role) {
+	lo.mu.Lock()
+	defer lo.mu.Unlock()
+	if lo.role == ro {
+		return
 	}
-	for id := range lo.endpoints {
-		if _, found := all[id]; !found {
-			delete(lo.endpoints, id)
-			lo.appendChange(id)
-		}
+	stopped := lo.role.direct && !ro.direct
+	lo.role = ro
+	if stopped {
+		lo.endpoints.append("")
+		lo.wakeAll()
 	}
 }
 
-func (lo *Log) appendChange(id string) {
-	lo.sequence++
-	lo.changed = append(lo.changed, id)
-	if len(lo.changed) > 2*maxLogChanges {
-		lo.changed = append([]string(nil), lo.changed[len(lo.changed)-maxLogChanges:]...)
+// setStoreSilent records whether the reader that this instance follows gets no
+// answers from the store.
+func (lo *Log) setStoreSilent(silent bool) {
+	lo.mu.Lock()
+	changed := lo.storeSilent != silent
+	lo.storeSilent = silent
+	lo.mu.Unlock()
+	if changed {
+		lo.Observe()
 	}
 }
 
-// SetDirect records whether this instance reads the store itself.
-func (lo *Log) SetDirect(direct bool) {
+// StoreUnresponsive reports whether the store has not answered this instance, or
+// the reader that it follows, since the last failed call.
+func (lo *Log) StoreUnresponsive() bool {
+	unresponsive := lo.Roster.StoreUnresponsive()
 	lo.mu.Lock()
 	defer lo.mu.Unlock()
-	lo.direct = direct
+	return unresponsive || lo.storeSilent
 }
 
 // CallAnswered records that the store answered a call about endpoints that was
@@ -143,6 +183,25 @@
 	lo.lastAnswer = max(lo.lastAnswer, begun)
 }
 
+// ConfigurationAnswered and ConfigurationFailed record the outcome of each call to
+// the store about the configuration.
+func (lo *Log) ConfigurationAnswered() { lo.setFailures(func(int) int { return 0 }) }
+
+// ConfigurationFailed is documented with ConfigurationAnswered.
+func (lo *Log) ConfigurationFailed() { lo.setFailures(func(old int) int { return old + 1 }) }
+
+func (lo *Log) setFailures(next func(old int) int) {
+	lo.mu.Lock()
+	defer lo.mu.Unlock()
+	lo.failures = next(lo.failures)
+}
+
+func (lo *Log) currentFailures() int {
+	lo.mu.Lock()
+	defer lo.mu.Unlock()
+	return lo.failures
+}
+
 // Wait answers a query as soon as there is a change, or without one after
 // qu.Wait.
 func (lo *Log) Wait(ctx context.Context, qu Query) Update {
@@ -151,7 +210,7 @@
 	defer cancel()
 	for {
 		lo.mu.Lock()
-		if qu.Epoch != lo.Epoch || qu.Sequence != lo.sequence || ctx.Err() != nil {
+		if lo.changedSince(qu) || ctx.Err() != nil {
 			up := lo.update(qu)
 			lo.mu.Unlock()
 			up.Held = lo.Boot.Now() - begun
@@ -169,45 +228,61 @@
 	}
 }
 
+// changedSince reports whether the sender of a query lacks changes. The caller
+// holds mu.
+func (lo *Log) changedSince(qu Query) bool {
+	return qu.Epoch != lo.Epoch || qu.Sequence != lo.endpoints.sequence || qu.Members && qu.MembersSequence != lo.members.sequence
+}
+
 // unknownAge is the age that is reported if the store has not confirmed
 // anything yet.
 const unknownAge = 24 * time.Hour
 
+// status returns the state of this instance as a reader. The caller holds mu.
+func (lo *Log) status() Status {
+	st := Status{Direct: lo.role.direct, Unable: lo.role.unable, Hops: lo.role.hops, Reader: lo.role.reader, ConfigurationAge: unknownAge, EndpointsAge: unknownAge}
+	if age, confirmed := lo.State.Age(); confirmed {
+		st.ConfigurationAge = age
+	}
+	if lo.lastAnswer > 0 {
+		st.EndpointsAge = lo.Boot.Now() - lo.lastAnswer
+	}
+	return st
+}
+
 // update builds the answer to a query. The caller holds mu.
 func (lo *Log) update(qu Query) Update {
 	up := Update{
-		Epoch: lo.Epoch, Sequence: lo.sequence, Direct: lo.direct, Silent: lo.storeUnresponsive, Zones: lo.zones, Version: lo.version,
-		ConfigurationAge: unknownAge, EndpointsAge: unknownAge,
+		Status: lo.status(), Epoch: lo.Epoch, Sequence: lo.endpoints.sequence, MembersSequence: lo.members.sequence,
+		Silent: lo.silent, Zones: lo.zones, Version: lo.version,
 	}
-	if age, confirmed := lo.State.Age(); confirmed {
-		up.ConfigurationAge = age
+	known := false
+	if qu.Epoch == lo.Epoch {
+		up.Endpoints, up.Removed, known = lo.endpoints.since(qu.Sequence)
 	}
-	if lo.lastAnswer > 0 {
-		up.EndpointsAge = lo.Boot.Now() - lo.lastAnswer
+	if up.Full = !known; up.Full {
+		up.Endpoints = lo.endpoints.all()
 	}
-	missed := lo.sequence - qu.Sequence
-	up.Full = qu.Epoch != lo.Epoch || qu.Sequence > lo.sequence || missed > uint64(len(lo.changed))
-	if up.Full {
-		for _, en := range lo.endpoints {
-			up.Endpoints = append(up.Endpoints, lo.withRemainingColdTime(en))
-		}
-		return up
+	for ix := range up.Endpoints {
+		up.Endpoints[ix] = lo.withRemainingColdTime(up.Endpoints[ix])
 	}
-	seen := make(map[string]bool)
-	for _, id := range lo.changed[uint64(len(lo.changed))-missed:] {
-		if id == "" || seen[id] {
-			continue
-		}
-		seen[id] = true
-		if en, found := lo.endpoints[id]; found {
-			up.Endpoints = append(up.Endpoints, lo.withRemainingColdTime(en))
-			continue
-		}
-		up.Removed = append(up.Removed, id)
+	if qu.Members {
+		up.Members = lo.membersSince(qu)
 	}
 	return up
 }
 
+// membersSince returns the instances that the sender of a query lacks. The
+// caller holds mu.
+func (lo *Log) membersSince(qu Query) []loadshare.Member {
+	if qu.Epoch == lo.Epoch {
+		if changed, _, known := lo.members.since(qu.MembersSequence); known {
+			return changed
+		}
+	}
+	return lo.members.all()
+}
+
 // withRemainingColdTime replaces the end of the cold start by its remaining
 // time, because the clocks of two instances are not comparable.
 func (lo *Log) withRemainingColdTime(en roster.Endpoint) roster.Endpoint {
@@ -215,40 +290,3 @@
 	en.ColdUntil = time.Time{}
 	return en
 }
-
-// ServiceName is the name under which Service is registered with a peer.Server.
-const ServiceName = "Relay"
-
-// Service is the net/rpc service that other instances call.
-type Service struct{ lo *Log }
-
-// Service returns the net/rpc service of the log.
-func (lo *Log) Service() *Service { return &Service{lo: lo} }
-
-// maxWait is the upper limit for Query.Wait.
-const maxWait = 2 * time.Second
-
-// None is the argument of methods that need none.
-type None struct{}
-
-// Text is a configuration in the serialized form that the store holds.
-type Text struct {
-	Version int64
-	Source  []byte
-}
-
-// Configuration returns the configuration in force; its version is zero if
-// there is none.
-func (se *Service) Configuration(_ None, te *Text) error {
-	if cf := se.lo.State.Load(); cf != nil {
-		te.Version, te.Source = cf.Version, cf.Source()
-	}
-	return nil
-}
-
-// Watch answers a query with Wait.
-func (se *Service) Watch(qu Query, up *Update) error {
-	qu.Wait = min(qu.Wait, maxWait)
-	*up = se.lo.Wait(context.Background(), qu)
-	return nil
-}
--- a/internal/relay/reader.go
+++ b/internal/relay/reader.go
@@ -10,40 +10,46 @@
 	"filbertstall.example/filbertstall/internal/loadshare"
 )
 
-// readerOf returns the instance that reads the store for a zone: the one with
-// the fastest link among those alive. Ties are broken by a hash of the name,
-// which spreads the work if zones have many instances.
-func readerOf(list []loadshare.Member, self, zone string, alive func(name string) bool) (loadshare.Member, bool) {
-	var eligible []loadshare.Member
+// candidates returns the instances of a zone that may read the store for it, in
+// the order in which they do: those with the fastest link first. Ties are broken
+// by a hash of the name, which spreads the work if zones have many instances.
+// Self is always one of them.
+func candidates(list []loadshare.Member, self loadshare.Member, alive func(name string) bool) []loadshare.Member {
+	eligible := []loadshare.Member{self}
 	for _, me := range list {
-		if me.Zone == zone && (me.Name == self || alive(me.Name)) {
+		if me.Zone == self.Zone && me.Name != self.Name && alive(me.Name) {
 			eligible = append(eligible, me)
 		}
 	}
-	if len(eligible) == 0 {
-		return loadshare.Member{}, false
+	slices.SortFunc(eligible, byLink)
+	return eligible
+}
+
+func byLink(a, b loadshare.Member) int {
+	if order := cmp.Compare(b.LinkMbps, a.LinkMbps); order != 0 {
+		return order
 	}
-	return slices.MinFunc(eligible, func(a, b loadshare.Member) int {
-		if order := cmp.Compare(b.LinkMbps, a.LinkMbps); order != 0 {
-			return order
-		}
-		return cmp.Compare(xxhash.Sum64String(a.Name), xxhash.Sum64String(b.Name))
-	}), true
+	return cmp.Compare(xxhash.Sum64String(a.Name), xxhash.Sum64String(b.Name))
 }
 
-// readersOf returns the readers of the other zones, sorted by zone.
-func readersOf(list []loadshare.Member, self, zone string, alive func(name string) bool) []loadshare.Member {
-	zones := make(map[string]bool)
+// readersOf returns the first candidate of each zone other than that of self.
+// Different instances start with different zones, so that the readers of the
+// other zones share the additional load.
+func readersOf(list []loadshare.Member, self loadshare.Member, alive func(name string) bool) []loadshare.Member {
+	first := make(map[string]loadshare.Member)
 	for _, me := range list {
-		if me.Zone != zone {
-			zones[me.Zone] = true
+		if me.Zone == self.Zone || !alive(me.Name) {
+			continue
 		}
-	}
-	var readers []loadshare.Member
-	for _, other := range slices.Sorted(maps.Keys(zones)) {
-		if me, found := readerOf(list, self, other, alive); found {
-			readers = append(readers, me)
+		if best, found := first[me.Zone]; !found || byLink(me, best) < 0 {
+			first[me.Zone] = me
 		}
 	}
+	zones := slices.Sorted(maps.Keys(first))
+	readers := make([]loadshare.Member, 0, len(zones))
+	for ix := range zones {
+		start := int(xxhash.Sum64String(self.Name) % uint64(len(zones)))
+		readers = append(readers, first[zones[(start+ix)%len(zones)]])
+	}
 	return readers
 }
--- /dev/null
+++ b/internal/relay/service.go
@@ -0,0 +1,70 @@
+package relay
+
+import (
+	"context"
+	"time"
+)
+
+// ServiceName is the name under which Service is registered with a peer.Server.
+const ServiceName = "Relay"
+
+// Service is the net/rpc service that other instances call.
+type Service struct{ lo *Log }
+
+// Service returns the net/rpc service of the log.
+func (lo *Log) Service() *Service { return &Service{lo: lo} }
+
+// maxWait is the upper limit for Query.Wait.
+const maxWait = 2 * time.Second
+
+// None is the argument of methods that need none.
+type None struct{}
+
+// Text is a configuration in the serialized form that the store holds.
+type Text struct {
+	Version int64
+	Source  []byte
+}
+
+// Configuration returns the configuration in force; its version is zero if
+// there is none.
+func (se *Service) Configuration(_ None, te *Text) error {
+	if cf := se.lo.State.Load(); cf != nil {
+		te.Version, te.Source = cf.Version, cf.Source()
+	}
+	return nil
+}
+
+// Watch answers a query with Wait.
+func (se *Service) Watch(qu Query, up *Update) error {
+	qu.Wait = min(qu.Wait, maxWait)
+	*up = se.lo.Wait(context.Background(), qu)
+	return nil
+}
+
+// Status is the part of an Update that tells whether its sender can be followed.
+type Status struct {
+	// Direct reports that the sender reads the store itself.
+	Direct bool
+	// Unable reports that the sender cannot read the store: its last attempt was
+	// not answered.
+	Unable bool
+	// Hops is the number of instances between the sender and the store. It is
+	// zero if Direct is set, or if the sender follows nobody.
+	Hops int
+	// Reader is the instance that reads the store at the end of these hops; empty
+	// if Hops is zero.
+	Reader string
+	// ConfigurationAge and EndpointsAge are the time since the store last
+	// confirmed the configuration and the endpoints.
+	ConfigurationAge time.Duration
+	EndpointsAge     time.Duration
+}
+
+// Status returns the state of this instance as a reader.
+func (se *Service) Status(_ None, st *Status) error {
+	se.lo.mu.Lock()
+	defer se.lo.mu.Unlock()
+	*st = se.lo.status()
+	return nil
+}
--- a/internal/relay/switch.go
+++ b/internal/relay/switch.go
@@ -2,8 +2,7 @@
 
 import (
 	"context"
-	"errors"
-	"sync/atomic"
+	"slices"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -11,7 +10,6 @@
 
 	"filbertstall.example/filbertstall/internal/boottime"
 	"filbertstall.example/filbertstall/internal/controller"
-	"filbertstall.example/filbertstall/internal/feed"
 	"filbertstall.example/filbertstall/internal/loadshare"
 	"filbertstall.example/filbertstall/internal/pause"
 	"filbertstall.example/filbertstall/internal/peer"
@@ -20,43 +18,35 @@
 )
 
 const (
-	// watchWait is how long a reader may hold a call open for a change.
-	watchWait = time.Second
-	// responseMargin is the time beyond watchWait that a call may take.
-	responseMargin = 700 * time.Millisecond
-	// directReadTime is the minimum time for which an instance reads the store
-	// itself after its reader failed.
-	directReadTime = 5 * time.Second
-	// readerCheckInterval is the interval at which the choice of the reader is
-	// checked.
-	readerCheckInterval = time.Second
 	// startupPeriod is how long after its own start an instance considers all
 	// others alive.
 	startupPeriod = 6 * time.Second
-	// maxConfigurationAge and maxEndpointsAge are the largest ages in an update
-	// with which its sender is followed. Beyond them the store itself is the
-	// better source.
-	maxConfigurationAge = 2500 * time.Millisecond
-	// maxEndpointsAge is over twice the time that one call about endpoints
-	// waits. Without changes, the call that the store answered last was sent up
-	// to two such waits ago.
-	maxEndpointsAge = 8 * time.Second
+	// skipTime is how long a candidate is passed over after it could not be
+	// followed, or could not read the store. An instance that fails to read the
+	// store again and again passes itself over for up to maxSkipTime.
+	skipTime    = 5 * time.Second
+	maxSkipTime = 20 * time.Second
 	// maxOwnConfirmationAge is the age of the store's last confirmation beyond
 	// which an instance follows readers of other zones, and otherZonesTime is
-	// how long it does so before it tries the store again.
+	// how long it does so before it tries its own zone again.
 	maxOwnConfirmationAge = 2200 * time.Millisecond
 	otherZonesTime        = 4 * time.Second
+	// retryDelay is the pause after neither this zone nor another one had an
+	// instance to follow.
+	retryDelay = 100 * time.Millisecond
 )
 
-// Switch follows the reader of its zone if there is one, and reads the store
-// directly otherwise. Set the exported fields before Run.
+// Switch follows the reader of its zone, or reads the store if this instance is
+// the reader. Set the exported fields before Run.
 type Switch struct {
 	Log    *Log
 	Caller peer.Caller
-	// Self and Zone are the name and the zone of this instance.
-	Self    string
-	Zone    string
+	// Self is this instance.
+	Self    loadshare.Member
 	Members *loadshare.Members
+	// Registered is closed once Members holds the instances that registered
+	// before this one; nil means that it does already.
+	Registered <-chan struct{}
 	// Alive reports whether another instance was seen recently.
 	Alive func(name string) bool
 	// Configuration and Others are the controllers that follow the store.
@@ -74,277 +64,153 @@
 	Logger zerolog.Logger
 
 	started time.Time
-	// readerStoreUnresponsive is set while the followed reader gets no answers
-	// from the store.
-	readerStoreUnresponsive atomic.Bool
+	// skipped maps candidates to the end of the time for which they are passed
+	// over. Only the goroutine of Run uses it.
+	skipped map[string]time.Time
+	// ownSkipTime is how long this instance passes itself over the next time.
+	ownSkipTime time.Duration
 }
 
-// StoreUnresponsive reports whether the reader that this instance follows gets
-// no answers from the store.
-func (sw *Switch) StoreUnresponsive() bool { return sw.readerStoreUnresponsive.Load() }
-
 // Name implements controller.Controller.
 func (sw *Switch) Name() string { return "relay" }
 
 // Run implements controller.Controller.
 func (sw *Switch) Run(ctx context.Context) error {
+	sw.skipped = make(map[string]time.Time)
+	sw.awaitMembers(ctx)
 	sw.started = sw.Clock.Now()
-	pause.For(ctx, sw.Clock, readerCheckInterval/4)
 	for ctx.Err() == nil {
-		me, found := sw.reader()
-		if found {
-			err := sw.follow(ctx, me, true)
-			if ctx.Err() != nil {
-				break
-			}
-			if sw.starting() && isReaderNotReady(err) {
-				pause.For(ctx, sw.Clock, readerCheckInterval/4)
-				continue
-			}
-			sw.Logger.Info().Str("event", "reader_left").Str("reader", me.Name).Err(err).Msg("relay: stopped following the reader; reading the store directly")
+		begun := sw.Boot.Now()
+		me := sw.choose()
+		if me.Name == sw.Self.Name {
+			sw.readDirectly(ctx)
+		} else {
+			sw.followOwnZone(ctx, me)
 		}
-		sw.readDirectly(ctx, directReadTime)
-		if sw.storeUnavailable() {
+		if !sw.confirmedSince(begun) && sw.storeUnavailable() {
 			sw.followOtherZones(ctx)
+			sw.pause(ctx, retryDelay)
 		}
 	}
 	return nil
 }
 
-// storeUnavailable reports whether the store's last confirmation is older than
-// maxOwnConfirmationAge.
-func (sw *Switch) storeUnavailable() bool {
+// awaitMembers waits until the registered instances are known. Without them each
+// instance would take itself for the only one, and all would read the store.
+func (sw *Switch) awaitMembers(ctx context.Context) {
+	if sw.Registered == nil {
+		return
+	}
+	select {
+	case <-ctx.Done():
+	case <-sw.Registered:
+	}
+}
+
+// confirmedSince reports whether the store has confirmed the configuration at or
+// after the given boot time.
+func (sw *Switch) confirmedSince(begun time.Duration) bool {
 	age, confirmed := sw.State.Age()
-	return confirmed && age > maxOwnConfirmationAge
+	return confirmed && sw.Boot.Now()-age >= begun
 }
 
-// followOtherZones follows the readers of other zones, one after the other, for
-// up to otherZonesTime. The store may reject this instance and still answer
-// others. If it answers none of them, their updates are too old to be followed.
-func (sw *Switch) followOtherZones(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, otherZonesTime)
-	defer cancel()
-	for _, me := range readersOf(sw.Members.List(), sw.Self, sw.Zone, sw.Alive) {
-		if ctx.Err() != nil {
-			return
-		}
-		err := sw.follow(ctx, me, false)
-		sw.Logger.Info().Str("event", "reader_left").Str("reader", me.Name).Bool("abroad", true).Err(err).Msg("relay: stopped following the reader of another zone")
-	}
+// storeUnavailable reports whether the store's last confirmation is missing or
+// older than maxOwnConfirmationAge.
+func (sw *Switch) storeUnavailable() bool {
+	age, confirmed := sw.State.Age()
+	return !confirmed || age > maxOwnConfirmationAge
 }
 
 // starting reports whether this instance started recently, so that all
 // instances may be starting at once.
 func (sw *Switch) starting() bool { return sw.Clock.Since(sw.started) < startupPeriod }
 
-// isReaderNotReady reports whether a reader answered but is not worth following
-// yet.
-func isReaderNotReady(err error) bool {
-	return errors.Is(err, errStale) || errors.Is(err, errNotDirect)
-}
-
-// reader returns the reader of the zone, and false if there is none or it is
-// this instance.
-func (sw *Switch) reader() (loadshare.Member, bool) {
+// candidates returns the instances that may read the store for this zone, in
+// order.
+func (sw *Switch) candidates() []loadshare.Member {
 	starting := sw.starting()
-	me, found := readerOf(sw.Members.List(), sw.Self, sw.Zone, func(name string) bool { return starting || sw.Alive(name) })
-	return me, found && me.Name != sw.Self
-}
-
-// readDirectly follows the store for at least minTime and until another instance
-// is the reader of the zone. It returns earlier if the store is unavailable.
-func (sw *Switch) readDirectly(ctx context.Context, minTime time.Duration) {
-	sw.Log.SetDirect(true)
-	defer sw.Log.SetDirect(false)
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		gr := controller.Group{Controllers: append([]controller.Controller{sw.Configuration}, sw.delayed()...)}
-		if err := gr.Run(ctx); err != nil {
-			sw.Logger.Error().Str("event", "store_not_followed").Err(err).Msg("relay: controllers that follow the store stopped with an error")
-		}
-	}()
-	begun := sw.Clock.Now()
-	for ctx.Err() == nil {
-		pause.For(ctx, sw.Clock, readerCheckInterval)
-		if sw.storeUnavailable() && sw.Clock.Since(begun) >= readerCheckInterval {
-			break
-		}
-		if _, found := sw.reader(); found && sw.Clock.Since(begun) >= minTime {
-			break
+	return candidates(sw.Members.List(), sw.Self, func(name string) bool { return starting || sw.Alive(name) })
+}
+
+// choose returns the first candidate that is not passed over. If all are, it
+// returns the one that has waited the longest, so that a zone always has an
+// instance that tries to read the store.
+func (sw *Switch) choose() loadshare.Member {
+	list := sw.candidates()
+	chosen := list[0]
+	for _, me := range list {
+		if !sw.skips(me.Name) {
+			return me
 		}
-	}
-	cancel()
-	<-done
-}
-
-// delayed wraps the other controllers so that they start once the store has
-// confirmed the configuration. During an outage of the store only one
-// controller calls it.
-func (sw *Switch) delayed() []controller.Controller {
-	begun := sw.Boot.Now()
-	list := make([]controller.Controller, 0, len(sw.Others))
-	for _, co := range sw.Others {
-		list = append(list, &delayed{Controller: co, ready: func() bool {
-			age, confirmed := sw.State.Age()
-			return confirmed && sw.Boot.Now()-age >= begun
-		}, sw: sw})
-	}
-	return list
-}
-
-// delayed is a controller that starts once ready returns true.
-type delayed struct {
-	controller.Controller
-	ready func() bool
-	sw    *Switch
-}
-
-// readyPollInterval is the interval at which delayed calls ready.
-const readyPollInterval = 20 * time.Millisecond
-
-// Run implements controller.Controller.
-func (de *delayed) Run(ctx context.Context) error {
-	for !de.ready() {
-		pause.For(ctx, de.sw.Clock, readyPollInterval)
-		if ctx.Err() != nil {
-			return nil
+		if sw.skipped[me.Name].Before(sw.skipped[chosen.Name]) {
+			chosen = me
 		}
 	}
-	return de.Controller.Run(ctx)
+	return chosen
 }
 
-var (
-	errNotDirect     = errors.New("relay: the reader does not read the store")
-	errStale         = errors.New("relay: the reader's state is too old")
-	errReaderChanged = errors.New("relay: another instance is now the reader of the zone")
-)
+// skip passes a candidate over for skipTime.
+func (sw *Switch) skip(name string) { sw.skipped[name] = sw.Clock.Now().Add(skipTime) }
 
-// follow applies the updates of the reader me. It returns when a call fails, an
-// update shows that the reader is not worth following, or its configuration
-// cannot be fetched. If own is set, me is the reader of this zone, and follow
-// also returns when another instance becomes the reader.
-func (sw *Switch) follow(ctx context.Context, me loadshare.Member, own bool) error {
-	defer sw.readerStoreUnresponsive.Store(false)
-	sw.Logger.Info().Str("event", "reader_followed").Str("reader", me.Name).Msg("relay: following a reader")
-	var qu Query
-	for ctx.Err() == nil {
-		qu.Wait = watchWait
-		begun := sw.Boot.Now()
-		var up Update
-		if err := sw.call(ctx, me, qu, &up); err != nil {
-			return err
-		}
-		if err := checkUpdate(up); err != nil {
-			return err
-		}
-		sw.readerStoreUnresponsive.Store(up.Silent)
-		sw.apply(up)
-		if err := sw.confirm(ctx, me, up, begun); err != nil {
-			return err
-		}
-		qu.Epoch, qu.Sequence = up.Epoch, up.Sequence
-		if other, found := sw.reader(); own && (!found || other.Name != me.Name) {
-			return errReaderChanged
-		}
+// skipSelf passes this instance over because it cannot read the store. The time
+// doubles with each attempt that the store did not answer.
+func (sw *Switch) skipSelf(answered bool) {
+	if answered {
+		sw.ownSkipTime = skipTime
 	}
-	return ctx.Err()
+	sw.ownSkipTime = max(sw.ownSkipTime, skipTime)
+	sw.skipped[sw.Self.Name] = sw.Clock.Now().Add(sw.ownSkipTime)
+	sw.ownSkipTime = min(2*sw.ownSkipTime, maxSkipTime)
 }
 
-func (sw *Switch) call(ctx context.Context, me loadshare.Member, qu Query, up *Update) error {
-	ctx, cancel := context.WithTimeout(ctx, watchWait+responseMargin)
-	defer cancel()
-	return sw.Caller.Call(ctx, me.Address.String(), ServiceName+".Watch", qu, up)
-}
+func (sw *Switch) skips(name string) bool { return sw.Clock.Now().Before(sw.skipped[name]) }
 
-// checkUpdate returns an error if the sender of an update is not worth
-// following.
-func checkUpdate(up Update) error {
-	switch {
-	case !up.Direct:
-		return errNotDirect
-	case up.ConfigurationAge > maxConfigurationAge || up.EndpointsAge > maxEndpointsAge:
-		return errStale
-	default:
-		return nil
-	}
+// isFirst reports whether this instance is the first candidate of its zone and
+// may read the store.
+func (sw *Switch) isFirst() bool {
+	return sw.candidates()[0].Name == sw.Self.Name && !sw.skips(sw.Self.Name)
 }
 
-// apply passes an update to the roster.
-func (sw *Switch) apply(up Update) {
-	if up.Full {
-		list := make([]feed.Object[roster.Endpoint], 0, len(up.Endpoints))
-		for _, en := range up.Endpoints {
-			list = append(list, feed.Object[roster.Endpoint]{Name: en.ID, Value: &en})
-		}
-		sw.Roster.Reset(list)
-	} else if len(up.Endpoints)+len(up.Removed) > 0 {
-		changes := make([]feed.Change[roster.Endpoint], 0, len(up.Endpoints)+len(up.Removed))
-		for _, en := range up.Endpoints {
-			changes = append(changes, feed.Change[roster.Endpoint]{Object: feed.Object[roster.Endpoint]{Name: en.ID, Value: &en}})
-		}
-		for _, id := range up.Removed {
-			changes = append(changes, feed.Change[roster.Endpoint]{Object: feed.Object[roster.Endpoint]{Name: id}, Removed: true})
-		}
-		sw.Roster.Apply(changes)
+// followOwnZone follows a candidate of this zone for as long as that is
+// possible. A candidate that fails is passed over.
+func (sw *Switch) followOwnZone(ctx context.Context, me loadshare.Member) {
+	err := sw.follow(ctx, me, true)
+	if ctx.Err() != nil || !isFailure(err) {
+		return
 	}
-	sw.Roster.SetEvacuatedZones(up.Zones)
+	sw.Logger.Info().Str("event", "reader_left").Str("reader", me.Name).Err(err).Msg("relay: stopped following a reader; trying the next candidate of the zone")
+	sw.skip(me.Name)
 }
 
-// confirm applies the reader's confirmation, once this instance has the version
-// that it refers to. The reader answered no earlier than begun plus the time
-// that it held the call, and the confirmation had the reported age at that
-// moment.
-func (sw *Switch) confirm(ctx context.Context, me loadshare.Member, up Update, begun time.Duration) error {
-	if !sw.hasVersion(up.Version) {
-		if err := sw.fetchConfiguration(ctx, me); err != nil {
-			return err
+// followOtherZones follows the readers of other zones, one after the other, for
+// up to otherZonesTime. The store may reject the instances of one zone and still
+// answer others. If it answers none of them, their updates are too old to be
+// followed.
+func (sw *Switch) followOtherZones(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, otherZonesTime)
+	defer cancel()
+	for _, me := range readersOf(sw.Members.List(), sw.Self, sw.Alive) {
+		err := sw.follow(ctx, sw.readerBehind(ctx, me), false)
+		if ctx.Err() != nil {
+			return
 		}
+		sw.Logger.Info().Str("event", "reader_left").Str("reader", me.Name).Bool("abroad", true).Err(err).Msg("relay: stopped following the reader of another zone")
 	}
-	if sw.hasVersion(up.Version) {
-		sw.State.Confirm(begun + up.Held - up.ConfigurationAge)
-	}
-	return nil
 }
 
-// hasVersion reports whether this version or a newer one is in force.
-func (sw *Switch) hasVersion(version int64) bool {
-	cf := sw.State.Load()
-	return cf != nil && cf.Version >= version
-}
-
-// fetchConfiguration fetches the configuration from the reader, and from the
-// store only if that fails. If each of many instances read each version from the
-// store, these reads would be most of the store's load.
-func (sw *Switch) fetchConfiguration(ctx context.Context, me loadshare.Member) error {
-	err := sw.fetchFromReader(ctx, me)
-	if err == nil {
-		return nil
+// readerBehind returns the instance from which a candidate gets its state, if
+// that is not the candidate itself or this instance.
+func (sw *Switch) readerBehind(ctx context.Context, me loadshare.Member) loadshare.Member {
+	var st Status
+	if err := sw.call(ctx, me, "Status", None{}, &st); err != nil || st.Reader == "" || st.Reader == sw.Self.Name {
+		return me
 	}
-	if ferr := sw.Fetch(ctx); ferr != nil {
-		return errors.Join(err, ferr)
+	list := sw.Members.List()
+	if ix := slices.IndexFunc(list, func(other loadshare.Member) bool { return other.Name == st.Reader }); ix >= 0 {
+		return list[ix]
 	}
-	return nil
+	return me
 }
 
-// fetchFromReader fetches the configuration from a reader and brings it into
-// force if it is newer.
-func (sw *Switch) fetchFromReader(ctx context.Context, me loadshare.Member) error {
-	ctx, cancel := context.WithTimeout(ctx, watchWait+responseMargin)
-	defer cancel()
-	var te Text
-	if err := sw.Caller.Call(ctx, me.Address.String(), ServiceName+".Configuration", None{}, &te); err != nil {
-		return err
-	}
-	cf, err := sw.Decode(te.Source)
-	if err != nil {
-		return err
-	}
-	if sw.State.Put(cf) {
-		sw.Logger.Info().Str("event", "configuration").Int64("version", cf.Version).Str("reader", me.Name).Msg("relay: applied a configuration received from a reader")
-		sw.Log.Observe()
-	}
-	return nil
-}
+// pause waits for the given time or until ctx ends.
+func (sw *Switch) pause(ctx context.Context, wait time.Duration) { pause.For(ctx, sw.Clock, wait) }
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -114,6 +114,37 @@
 	})
 }
 
+// Replicate applies the state of another instance, which reads the store: if full
+// is set, changed holds all its endpoints, else those that changed. That instance
+// has already retained the endpoints whose entries expired during an outage, so
+// that a removed endpoint is removed here at once.
+func (ro *Roster) Replicate(full bool, changed []Endpoint, removed []string) {
+	ro.mu.Lock()
+	current := !full && len(changed)+len(removed) == 0 && !ro.storeLost && !ro.storeUnresponsive && len(ro.retained) == 0
+	ro.mu.Unlock()
+	if current {
+		return
+	}
+	ro.update(func(now time.Time) (left []Endpoint) {
+		ro.storeLost, ro.storeUnresponsive, ro.retained = false, false, nil
+		present := make(map[string]bool, len(changed))
+		for _, en := range changed {
+			present[en.ID] = true
+			left = append(left, ro.put(feed.Object[Endpoint]{Name: en.ID, Value: &en}, now)...)
+		}
+		for id := range ro.endpoints {
+			if full && !present[id] {
+				left = append(left, ro.remove(id)...)
+			}
+		}
+		for _, id := range removed {
+			left = append(left, ro.remove(id)...)
+		}
+		ro.listed = true
+		return left
+	})
+}
+
 // CallAnswered implements feed.Sink.
 func (ro *Roster) CallAnswered(time.Duration) {
 	ro.update(func(now time.Time) []Endpoint {
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -197,3 +197,22 @@
 		g.Expect(ro.StoreUnresponsive()).To(BeFalse())
 	}
 }
+
+// An instance that follows a reader removes an endpoint as soon as the reader
+// does, also shortly after it could not reach the store itself.
+func TestReplicate(t *testing.T) {
+	g := NewWithT(t)
+	fx := newFixture()
+	fx.Reset([]feed.Object[Endpoint]{object("a"), object("b")})
+	fx.CallFailed(errors.New("down"))
+	fx.Apply(put(object("a")))
+	c, d := object("c"), object("d")
+	fx.Replicate(false, []Endpoint{*c.Value, *d.Value}, []string{"a"})
+	g.Expect(fx.ready()).To(Equal([]string{"b", "c", "d"}))
+	g.Expect(fx.left).To(Equal([]string{"a"}))
+	fx.CallFailed(errors.New("down"))
+	fx.Replicate(false, nil, nil)
+	g.Expect(fx.StoreUnresponsive()).To(BeFalse(), "the reader gets answers")
+	fx.Replicate(true, []Endpoint{*d.Value}, nil)
+	g.Expect(fx.ready()).To(Equal([]string{"d"}))
+}
