--- a/internal/relay/direct.go
+++ b/internal/relay/direct.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"filbertstall.example/filbertstall/internal/controller"
+	"filbertstall.example/filbertstall/internal/loadshare"
 	"filbertstall.example/filbertstall/internal/pause"
 )
 
@@ -17,13 +19,15 @@
 	// answer.
 	firstAnswerTimeout = 1300 * time.Millisecond
 	// maxFailures is the number of failed calls in a row after which a reader
-	// gives up, provided that the store's last confirmation is older than
-	// failedConfirmationAge. A reader that the store turns away notices that
-	// sooner than one that gets no answer.
+	// gives up, provided that they failed over at least failingTime and the
+	// store's last confirmation is older than failedConfirmationAge. A reader that
+	// the store turns away notices that sooner than one that gets no answer. One
+	// call may fail because its connection was reset.
 	maxFailures           = 2
+	failingTime           = 400 * time.Millisecond
 	failedConfirmationAge = 1500 * time.Millisecond
 	// relieveInterval is the interval at which a reader that is not the first
-	// candidate asks the first one whether that reads the store.
+	// candidate asks those before it whether they read the store.
 	relieveInterval = 3 * time.Second
 	// lapseTime is the age of the store's last confirmation beyond which entries
 	// may be missing from the store because their endpoints could not renew them
@@ -34,7 +38,7 @@
 var errLongUnconfirmed = errors.New("relay: the store has not confirmed anything for longer than entries last")
 
 // readDirectly follows the store until the store does not answer any more, or
-// the first candidate of the zone reads it.
+// a candidate that comes before this instance reads it.
 func (sw *Switch) readDirectly(ctx context.Context) {
 	begun := sw.Boot.Now()
 	sw.Log.setRole(role{direct: true})
@@ -88,26 +92,20 @@
 // the store for the given time, and answered tells whether it got any answer.
 func (sw *Switch) isUnable(answered bool, reading time.Duration) bool {
 	age, _ := sw.State.Age()
-	failing := sw.Log.currentFailures() >= maxFailures
+	failures, since := sw.Log.failing()
+	failing := failures >= maxFailures && since >= failingTime
 	if !answered {
 		return failing || reading > firstAnswerTimeout
 	}
 	return age > maxOwnConfirmationAge || failing && age > failedConfirmationAge
 }
 
-// isRelieved reports whether the first candidate of the zone is another instance
-// that reads the store.
+// isRelieved reports whether a candidate that comes before this one reads the
+// store, too.
 func (sw *Switch) isRelieved(ctx context.Context) bool {
-	first := sw.candidates()[0]
-	if first.Name == sw.Self.Name || sw.skips(first.Name) {
-		return false
-	}
-	var st Status
-	if err := sw.call(ctx, first, "Status", None{}, &st); err != nil {
-		sw.skip(first.Name)
-		return false
-	}
-	return st.Direct && st.check() == nil
+	list := sw.candidates()
+	before := slices.IndexFunc(list, func(me loadshare.Member) bool { return me.Name == sw.Self.Name })
+	return slices.ContainsFunc(sw.askAll(ctx, list[:before]), func(so source) bool { return so.status.Direct })
 }
 
 // delayed wraps the other controllers so that they start once the store has
--- a/internal/relay/follow.go
+++ b/internal/relay/follow.go
@@ -6,6 +6,8 @@
 	"errors"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"filbertstall.example/filbertstall/internal/loadshare"
 	"filbertstall.example/filbertstall/internal/peer"
 )
@@ -89,7 +91,7 @@
 	defer sw.Log.setStoreSilent(false)
 	begun := sw.Clock.Now()
 	qu := Query{Members: true}
-	following := false
+	following, retried := false, false
 	for ctx.Err() == nil {
 		up, err := sw.update(ctx, me, qu)
 		if own && !following && sw.Clock.Since(begun) < sw.patience(err) {
@@ -99,14 +101,19 @@
 			sw.pause(ctx, readyPollInterval)
 			continue
 		}
+		if following && !retried && isReset(err) {
+			retried = true
+			continue
+		}
 		if err != nil {
+			sw.logLeft(ctx, me, following, err)
 			return err
 		}
 		if !following {
 			following = true
 			sw.Logger.Info().Str("event", "reader_followed").Str("reader", me.Name).Int("hops", up.Hops).Msg("relay: following a reader")
 		}
-		qu = nextQuery(up)
+		qu, retried = nextQuery(up), false
 		if err := sw.handover(me, up, own); err != nil {
 			return err
 		}
@@ -114,13 +121,29 @@
 	return ctx.Err()
 }
 
+// logLeft logs why a candidate is not followed. During an outage there are many
+// that can't be followed, which is logged at level debug.
+func (sw *Switch) logLeft(ctx context.Context, me loadshare.Member, following bool, err error) {
+	level := zerolog.DebugLevel
+	if following && ctx.Err() == nil {
+		level = zerolog.InfoLevel
+	}
+	sw.Logger.WithLevel(level).Str("event", "reader_left").Str("reader", me.Name).Bool("abroad", me.Zone != sw.Self.Zone).Err(err).Msg("relay: not following this candidate any more")
+}
+
+// isReset reports whether a call failed because its connection broke. The next
+// call opens another one.
+func isReset(err error) bool {
+	return peer.IsKind(err, peer.Lost) && !errors.Is(err, context.DeadlineExceeded)
+}
+
 // patience returns how long a candidate of this zone may answer with this error
 // until it is given up. It may be about to read the store, or to start.
 func (sw *Switch) patience(err error) time.Duration {
 	switch {
 	case errors.Is(err, errStale), sw.starting() && peer.IsKind(err, peer.Unreachable):
 		return readyTimeout
-	case errors.Is(err, errIdle), errors.Is(err, errCircular):
+	case errors.Is(err, errIdle), errors.Is(err, errCircular), errors.Is(err, errTooFar):
 		return idleTimeout
 	default:
 		return 0
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -77,8 +77,9 @@
 	// answers from the store.
 	storeSilent bool
 	// failures is the number of calls about the configuration that failed since
-	// the last answered one.
-	failures int
+	// the last answered one, and failingSince the boot time of the first of them.
+	failures     int
+	failingSince time.Duration
 	// lastAnswer is the boot time at which the last answered call about
 	// endpoints was sent; zero if there is none.
 	lastAnswer time.Duration
@@ -183,23 +184,32 @@
 	lo.lastAnswer = max(lo.lastAnswer, begun)
 }
 
-// ConfigurationAnswered and ConfigurationFailed record the outcome of each call to
-// the store about the configuration.
-func (lo *Log) ConfigurationAnswered() { lo.setFailures(func(int) int { return 0 }) }
-
-// ConfigurationFailed is documented with ConfigurationAnswered.
-func (lo *Log) ConfigurationFailed() { lo.setFailures(func(old int) int { return old + 1 }) }
+// ConfigurationAnswered records that the store answered a call about the
+// configuration.
+func (lo *Log) ConfigurationAnswered() {
+	lo.mu.Lock()
+	defer lo.mu.Unlock()
+	lo.failures = 0
+}
 
-func (lo *Log) setFailures(next func(old int) int) {
+// ConfigurationFailed records that a call about the configuration failed.
+func (lo *Log) ConfigurationFailed() {
+	now := lo.Boot.Now()
 	lo.mu.Lock()
 	defer lo.mu.Unlock()
-	lo.failures = next(lo.failures)
+	if lo.failures == 0 {
+		lo.failingSince = now
+	}
+	lo.failures++
 }
 
-func (lo *Log) currentFailures() int {
+// failing returns the number of calls about the configuration that failed in a
+// row, and the time since the first of them.
+func (lo *Log) failing() (failures int, since time.Duration) {
+	now := lo.Boot.Now()
 	lo.mu.Lock()
 	defer lo.mu.Unlock()
-	return lo.failures
+	return lo.failures, now - lo.failingSince
 }
 
 // Wait answers a query as soon as there is a change, or without one after
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"slices"
 	"sync"
 	"testing"
@@ -16,6 +17,7 @@
 	"filbertstall.example/filbertstall/internal/boottime"
 	"filbertstall.example/filbertstall/internal/feed"
 	"filbertstall.example/filbertstall/internal/loadshare"
+	"filbertstall.example/filbertstall/internal/peer"
 	"filbertstall.example/filbertstall/internal/roster"
 	"filbertstall.example/filbertstall/internal/routing"
 )
@@ -383,3 +385,55 @@
 	no.roster.CallAnswered(0)
 	g.Expect(no.ask(Query{Epoch: outage.Epoch, Sequence: outage.Sequence, Wait: time.Hour}).Silent).To(BeFalse())
 }
+
+// All connections between instances are reset at once. Nobody gives its reader up
+// for that.
+func TestResetConnections(t *testing.T) {
+	g := NewWithT(t)
+	reader, no := newNode(), newNode()
+	reader.put("e1")
+	reader.state.Put(routing.New(routing.Spec{Version: 1, Source: []byte("1")}))
+	reader.state.Confirm(reader.boot.Now())
+	reader.log.CallAnswered(reader.boot.Now())
+	reader.log.setRole(role{direct: true})
+	lost := func(cause error) error { return &peer.Error{Op: "Relay.Watch", Kind: peer.Lost, Err: cause} }
+	for _, ca := range []struct {
+		name  string
+		fails []error
+		calls int
+		err   error
+	}{
+		{"one call is reset", []error{nil, lost(io.EOF), nil, errStale}, 4, errStale},
+		{"two calls in a row are reset", []error{nil, lost(io.EOF), lost(io.ErrUnexpectedEOF)}, 3, io.ErrUnexpectedEOF},
+		{"the first call is reset", []error{lost(io.EOF)}, 1, io.EOF},
+		{"a call gets no answer", []error{nil, lost(context.DeadlineExceeded)}, 2, context.DeadlineExceeded},
+	} {
+		t.Run(ca.name, func(t *testing.T) {
+			calls := 0
+			sw := &Switch{
+				Log: &no.log, Self: loadshare.Member{Name: "self"}, Members: &loadshare.Members{}, Alive: func(string) bool { return true },
+				Roster: &no.roster, State: &no.state, Clock: clockwork.NewRealClock(), Boot: no.boot, Logger: zerolog.Nop(), Decode: decodeNumber,
+				Caller: callerFunc(func(method string, args, reply any) error {
+					if method != ServiceName+".Watch" {
+						return (&caller{log: &reader.log}).Call(t.Context(), "", method, args, reply)
+					}
+					calls++
+					if err := ca.fails[calls-1]; err != nil {
+						return err
+					}
+					return (&caller{log: &reader.log}).Call(t.Context(), "", method, args, reply)
+				}),
+			}
+			err := sw.follow(t.Context(), loadshare.Member{Name: "reader"}, false)
+			g.Expect(err).To(MatchError(ca.err))
+			g.Expect(calls).To(Equal(ca.calls))
+		})
+	}
+}
+
+// callerFunc is a peer.Caller.
+type callerFunc func(method string, args, reply any) error
+
+func (cf callerFunc) Call(_ context.Context, _, method string, args, reply any) error {
+	return cf(method, args, reply)
+}
--- a/internal/relay/switch.go
+++ b/internal/relay/switch.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -25,15 +24,17 @@
 	// followed, or could not read the store. An instance that fails to read the
 	// store again and again passes itself over for up to maxSkipTime.
 	skipTime    = 5 * time.Second
-	maxSkipTime = 20 * time.Second
+	maxSkipTime = 10 * time.Second
 	// maxOwnConfirmationAge is the age of the store's last confirmation beyond
-	// which an instance follows readers of other zones, and otherZonesTime is
-	// how long it does so before it tries its own zone again.
+	// which an instance follows any that has a fresh one, and detourTime is how
+	// long it does so before it tries the candidates of its zone in order again.
 	maxOwnConfirmationAge = 2200 * time.Millisecond
-	otherZonesTime        = 4 * time.Second
-	// retryDelay is the pause after neither this zone nor another one had an
-	// instance to follow.
-	retryDelay = 100 * time.Millisecond
+	detourTime            = 4 * time.Second
+	// retryDelay is the pause after an attempt without a confirmation, and
+	// retryDelayPerInstance what each instance of the deployment adds to it: all
+	// of them ask the same few.
+	retryDelay            = 200 * time.Millisecond
+	retryDelayPerInstance = time.Millisecond
 )
 
 // Switch follows the reader of its zone, or reads the store if this instance is
@@ -87,10 +88,13 @@
 		} else {
 			sw.followOwnZone(ctx, me)
 		}
-		if !sw.confirmedSince(begun) && sw.storeUnavailable() {
-			sw.followOtherZones(ctx)
-			sw.pause(ctx, retryDelay)
+		if sw.confirmedSince(begun) {
+			continue
 		}
+		if sw.storeUnavailable() {
+			sw.followAny(ctx)
+		}
+		sw.pause(ctx, retryDelay+time.Duration(len(sw.Members.List()))*retryDelayPerInstance)
 	}
 	return nil
 }
@@ -174,42 +178,22 @@
 // followOwnZone follows a candidate of this zone for as long as that is
 // possible. A candidate that fails is passed over.
 func (sw *Switch) followOwnZone(ctx context.Context, me loadshare.Member) {
-	err := sw.follow(ctx, me, true)
-	if ctx.Err() != nil || !isFailure(err) {
-		return
-	}
-	sw.Logger.Info().Str("event", "reader_left").Str("reader", me.Name).Err(err).Msg("relay: stopped following a reader; trying the next candidate of the zone")
-	sw.skip(me.Name)
-}
-
-// followOtherZones follows the readers of other zones, one after the other, for
-// up to otherZonesTime. The store may reject the instances of one zone and still
-// answer others. If it answers none of them, their updates are too old to be
-// followed.
-func (sw *Switch) followOtherZones(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, otherZonesTime)
-	defer cancel()
-	for _, me := range readersOf(sw.Members.List(), sw.Self, sw.Alive) {
-		err := sw.follow(ctx, sw.readerBehind(ctx, me), false)
-		if ctx.Err() != nil {
-			return
-		}
-		sw.Logger.Info().Str("event", "reader_left").Str("reader", me.Name).Bool("abroad", true).Err(err).Msg("relay: stopped following the reader of another zone")
+	if err := sw.follow(ctx, me, true); ctx.Err() == nil && isFailure(err) {
+		sw.skip(me.Name)
 	}
 }
 
-// readerBehind returns the instance from which a candidate gets its state, if
-// that is not the candidate itself or this instance.
-func (sw *Switch) readerBehind(ctx context.Context, me loadshare.Member) loadshare.Member {
-	var st Status
-	if err := sw.call(ctx, me, "Status", None{}, &st); err != nil || st.Reader == "" || st.Reader == sw.Self.Name {
-		return me
-	}
-	list := sw.Members.List()
-	if ix := slices.IndexFunc(list, func(other loadshare.Member) bool { return other.Name == st.Reader }); ix >= 0 {
-		return list[ix]
+// followAny follows an instance that has a fresh confirmation of the store, in
+// this zone or another one, for up to detourTime. The store may reject the first
+// candidates of a zone, or all of them, and still answer others.
+func (sw *Switch) followAny(ctx context.Context) {
+	me, found := sw.findFresh(ctx)
+	if !found {
+		return
 	}
-	return me
+	ctx, cancel := context.WithTimeout(ctx, detourTime)
+	defer cancel()
+	_ = sw.follow(ctx, me, false)
 }
 
 // pause waits for the given time or until ctx ends.
--- a/internal/relay/zone_test.go
+++ b/internal/relay/zone_test.go
@@ -302,28 +302,48 @@
 		g.Expect(fl.readers()).To(BeNumerically("<=", 10))
 		g.Expect(fl.takeCalls()).To(BeNumerically("<=", 3*5*settledCalls))
 		fl.set(func() { clear(fl.rejected) })
-		fl.watch(15 * time.Second)
+		time.Sleep(maxSkipTime + detourTime + 2*relieveInterval)
 		g.Expect(fl.readers()).To(Equal(5), "the preferred readers are back")
 	})
 }
 
+// maxMessageRate is the number of messages a second that an instance may send
+// while nobody can read the store.
+const maxMessageRate = 150
+
 // The store is down for eight seconds. One instance of each zone tries it at a
-// time, and all instances have fresh confirmations two seconds after its return.
+// time, the instances don't ask each other in a tight loop, and all have fresh
+// confirmations two seconds after its return.
 func TestStoreDown(t *testing.T) {
-	runFleet(t, 5, 19, func(g *WithT, fl *fleet) {
-		time.Sleep(4 * time.Second)
-		fl.takeCalls()
-		fl.set(func() { fl.down = true })
-		time.Sleep(8 * time.Second)
-		g.Expect(fl.takeCalls()).To(BeNumerically("<=", 2*5*settledCalls))
-		fl.set(func() { fl.down, fl.version = false, 2 })
-		time.Sleep(2 * time.Second)
-		name, age := fl.oldest()
-		g.Expect(age).To(BeNumerically("<", maxRelayedConfigurationAge), name)
-		for _, mb := range fl.instances {
-			g.Expect(mb.state.Load().Version).To(Equal(int64(2)), mb.self.Name)
-		}
-	})
+	for _, ca := range []struct{ zones, perZone int }{{5, 19}, {4, 2}, {2, 1}} {
+		t.Run(fmt.Sprintf("%d zones of %d", ca.zones, ca.perZone), func(t *testing.T) {
+			runFleet(t, ca.zones, ca.perZone, func(g *WithT, fl *fleet) { testStoreDown(g, fl, ca.zones) })
+		})
+	}
+}
+
+func testStoreDown(g *WithT, fl *fleet, zones int) {
+	time.Sleep(4 * time.Second)
+	fl.takeCalls()
+	before, _ := fl.net.Traffic()
+	fl.set(func() { fl.down = true })
+	time.Sleep(8 * time.Second)
+	g.Expect(fl.takeCalls()).To(BeNumerically("<=", 2*zones*settledCalls))
+	after, _ := fl.net.Traffic()
+	g.Expect(after - before).To(BeNumerically("<=", 8*maxMessageRate*len(fl.instances)))
+	fl.set(func() { fl.down, fl.version = false, 2 })
+	time.Sleep(2 * time.Second)
+	name, age := fl.oldest()
+	g.Expect(age).To(BeNumerically("<", maxRelayedConfigurationAge), name)
+	for _, mb := range fl.instances {
+		g.Expect(mb.state.Load().Version).To(Equal(int64(2)), mb.self.Name)
+	}
+	time.Sleep(maxSkipTime + detourTime + 2*relieveInterval)
+	before, _ = fl.net.Traffic()
+	time.Sleep(8 * time.Second)
+	after, _ = fl.net.Traffic()
+	g.Expect(after-before).To(BeNumerically("<=", 8*10*len(fl.instances)), "calm again")
+	g.Expect(fl.readers()).To(Equal(zones))
 }
 
 // The readers of all zones die, and come back later.
