dispatch: find a stream whose connection went silent by the engine's progress

Cause (the users' first complaint: a study guide stops halfway while the replica shows it as sending): the watch for stalls opened a new connection, found the engine reachable, and looked no more until data came, which never does on a connection that something between the two ends has lost track of. It didn't watch streams without a standby copy, and it counted a caller that reads slowly as a silent engine. Change: while the session waits for data, the engine is examined every 800 ms. If its reports show that the run made events between two examinations and none arrived, the run is moved (which stops it at the engine first, so that it never goes on twice) and the stream goes on after its last event, within 3 s. Ruled out: taking over from the standby copy, since the engine would go on with the run: a close doesn't reach it on such a connection.

--- a/internal/allocation/world_test.go
+++ b/internal/allocation/world_test.go
@@ -162,11 +162,12 @@
 	}
 	newer := func(next, current *kind.Configuration) bool { return next.Version() > current.Version() }
 	for _, in := range wo.instances {
-		wait := time.Duration(0)
-		if delay > 0 {
-			wait = time.Duration(wo.rn.Int64N(int64(delay)))
+		apply := func() { in.configuration.Advance(cf, newer) }
+		if delay == 0 {
+			apply()
+			continue
 		}
-		time.AfterFunc(wait, func() { in.configuration.Advance(cf, newer) })
+		time.AfterFunc(1+time.Duration(wo.rn.Int64N(int64(delay))), apply)
 	}
 }
 
--- a/internal/clocktest/clock.go
+++ b/internal/clocktest/clock.go
@@ -16,10 +16,11 @@
 	"github.com/jonboulle/clockwork"
 )
 
-// Clock is the real clock with timers that run callbacks. A select statement in
-// a synctest bubble runs due channel timers on its own thread, and Go's race
-// detector crashes if two threads of a bubble do so at once. Callbacks run on
-// goroutines of their own.
+// Clock is the real clock with timers that run callbacks and are never due when
+// they start. A goroutine of a synctest bubble runs a due timer on its own thread
+// when it selects on the timer's channel, or starts the timer, and Go's race
+// detector crashes if two threads of a bubble do so at once. All other timers run
+// on one thread at a time.
 type Clock struct{ clockwork.Clock }
 
 // New returns a Clock.
@@ -53,8 +54,13 @@
 	under *time.Timer
 }
 
-// arm starts the timer.
+// arm starts the timer. One that is due fires at once.
 func (ti *timer) arm(wait time.Duration) {
+	if wait <= 0 {
+		ti.under = nil
+		ti.fire()
+		return
+	}
 	ti.mu.Lock()
 	defer ti.mu.Unlock()
 	ti.under = time.AfterFunc(wait, ti.fire)
@@ -89,7 +95,7 @@
 	ti.mu.Lock()
 	defer ti.mu.Unlock()
 	ti.interval = 0
-	active := ti.under.Stop()
+	active := ti.under != nil && ti.under.Stop()
 	select {
 	case <-ti.fired:
 	default:
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -46,6 +46,9 @@
 	// If it is nil, crashes and stalled streams are not detected.
 	Suspects  Suspects
 	Reachable func(ctx context.Context, address string) bool
+	// Progress returns the number of events that an engine says it has made of a
+	// run. If it is nil, streams whose connection went silent are not detected.
+	Progress func(ctx context.Context, en roster.Endpoint, run string) (int, error)
 	// Meter records metrics. If nil, none are recorded.
 	Meter *Meter
 
--- a/internal/dispatch/harness_test.go
+++ b/internal/dispatch/harness_test.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -194,6 +195,7 @@
 			{Host: "h", PathPrefix: "/read/", RetryClass: routing.Idempotent, MaxAttempts: 2, Timeout: timeout, Shares: shares},
 			{Host: "h", PathPrefix: "/post/", RetryClass: routing.AtMostOnce, MaxAttempts: 2, Timeout: timeout, Shares: shares},
 			{Host: "h", PathPrefix: "/stream/", RetryClass: routing.Streaming, MaxAttempts: 1, Timeout: timeout, Shares: shares},
+			{Host: "h", PathPrefix: "/long/", RetryClass: routing.Streaming, MaxAttempts: 1, Timeout: 5 * time.Second, Shares: shares},
 			{Host: "h", PathPrefix: "/brief/", RetryClass: routing.AtMostOnce, MaxAttempts: 1, Timeout: 80 * time.Millisecond, Shares: shares},
 			{Host: "h", PathPrefix: "/public/", RetryClass: routing.Idempotent, MaxAttempts: 1, Timeout: timeout, Public: true, Shares: shares},
 		},
@@ -216,12 +218,11 @@
 	ha.Roster.Apply([]feed.Change[roster.Endpoint]{{Object: feed.Object[roster.Endpoint]{Name: en.ID, Value: &en}}})
 }
 
-var lastID int
+var lastID atomic.Int64
 
 func (ha *harness) request(path string) *Request {
-	lastID++
 	return &Request{
-		ID: strconv.Itoa(lastID), Method: "POST", Target: path, Path: path, Host: "h", Body: []byte("b"), HasBody: true,
+		ID: strconv.FormatInt(lastID.Add(1), 10), Method: "POST", Target: path, Path: path, Host: "h", Body: []byte("b"), HasBody: true,
 		Key: "key", HasKey: true, Arrived: ha.Clock.Now(), Prompt: Prompt{Tokens: 100, MaxOutput: 40},
 	}
 }
--- a/internal/dispatch/stall.go
+++ b/internal/dispatch/stall.go
@@ -2,54 +2,213 @@
 
 import (
 	"context"
+	"sync"
 	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"filbertstall.example/filbertstall/internal/migration"
+	"filbertstall.example/filbertstall/internal/pause"
+	"filbertstall.example/filbertstall/internal/roster"
+	"filbertstall.example/filbertstall/internal/upstream"
 )
 
 const (
 	// stallTimeout is the time without received data after which the engine is
-	// probed. A pause alone is no sign of failure, because engines preempt runs
-	// for seconds.
+	// examined, and the time between two examinations. A pause alone is no sign of
+	// failure, because engines preempt runs for seconds.
 	stallTimeout = 800 * time.Millisecond
 	// stallProbes is the number of consecutive probes that must fail. One probe
 	// may fail because of a single lost packet.
 	stallProbes = 2
+	// deliveryTime is the time in which an event that an engine has made arrives.
+	deliveryTime = 150 * time.Millisecond
+	// maxRescues limits how often one stream is moved off an engine that goes on
+	// with the run.
+	maxRescues = 3
 )
 
-// startStallTimer watches the current answer for a stall. An interrupted path
-// delivers no error, only silence, and aborting the answer lets the run
-// continue from its standby copy. After a successful probe, the watch resumes
-// only when more data arrives. Streams without a standby copy are not watched,
-// since they can only wait.
-func (se *session) startStallTimer() {
-	if se.standby == nil || se.di.Reachable == nil {
+// stallWatch watches an answer for a stall. A stream stalls in two ways, neither
+// of which gives an error:
+//
+//   - The path to the engine is interrupted. Aborting the answer lets the run
+//     continue from its standby copy.
+//   - The connection went silent, while new ones work and the engine goes on with
+//     the run. Its reports tell: between two of them the run made progress, and no
+//     data arrived. The run is moved, which stops it at the engine first.
+type stallWatch struct {
+	di       *Dispatcher
+	ctx      context.Context
+	answer   *upstream.Answer
+	endpoint roster.Endpoint
+	// run is nil if the run cannot be moved.
+	run *migration.Run
+	// hasStandby is set if the run has a standby copy.
+	hasStandby bool
+
+	mu      sync.Mutex
+	timer   clockwork.Timer
+	stopped bool
+	// waiting is set while the session waits for data. A session whose caller
+	// reads slowly does not.
+	waiting bool
+	// arrivals is the number of times that data arrived.
+	arrivals int
+	// made is the number of events that the engine reported at the last
+	// examination since data arrived, or noReport.
+	made    int
+	rescues int
+}
+
+// noReport stands for an engine that has not reported on the run yet.
+const noReport = -1
+
+// startStallWatch watches the current answer. Streams that can neither be moved
+// nor continue from a standby copy are not watched, since they can only wait.
+func (se *session) startStallWatch() {
+	if se.di.Reachable == nil || se.standby == nil && se.run == nil {
+		return
+	}
+	sw := &stallWatch{
+		di: se.di, ctx: se.ctx, answer: se.answer, endpoint: se.endpoint, run: se.run, hasStandby: se.standby != nil, made: noReport,
+	}
+	sw.mu.Lock()
+	defer sw.mu.Unlock()
+	sw.timer = se.di.Clock.AfterFunc(stallTimeout, sw.examine)
+	se.stall = sw
+}
+
+// stopStallWatch ends the watch started by startStallWatch.
+func (se *session) stopStallWatch() {
+	if se.stall != nil {
+		se.stall.stop()
+		se.stall = nil
+	}
+}
+
+// awaitData begins a wait for data. It has no effect on a nil watch.
+func (sw *stallWatch) awaitData() {
+	if sw == nil {
+		return
+	}
+	sw.mu.Lock()
+	defer sw.mu.Unlock()
+	sw.waiting = true
+	sw.timer.Reset(stallTimeout)
+}
+
+// dataArrived ends the wait. It has no effect on a nil watch.
+func (sw *stallWatch) dataArrived() {
+	if sw == nil {
+		return
+	}
+	sw.mu.Lock()
+	defer sw.mu.Unlock()
+	sw.waiting, sw.made = false, noReport
+	sw.arrivals++
+}
+
+// state returns whether the session waits for data, and how often data arrived.
+func (sw *stallWatch) state() (waiting bool, arrivals int) {
+	sw.mu.Lock()
+	defer sw.mu.Unlock()
+	return sw.waiting, sw.arrivals
+}
+
+func (sw *stallWatch) stop() {
+	sw.mu.Lock()
+	defer sw.mu.Unlock()
+	sw.stopped = true
+	sw.timer.Stop()
+}
+
+// examine aborts the answer if the run can continue elsewhere. Otherwise it
+// examines the engine again later, because a path can be cut and a connection go
+// silent in the middle of a pause, too.
+func (sw *stallWatch) examine() {
+	if waiting, _ := sw.state(); waiting && sw.isStalled() {
+		sw.answer.Abort()
 		return
 	}
-	an, en := se.answer, se.endpoint
-	se.stallTimer = se.di.Clock.AfterFunc(stallTimeout, func() {
-		for range stallProbes {
-			ctx, cancel := context.WithTimeout(se.ctx, probeTimeout)
-			reachable := se.di.Reachable(ctx, en.Address)
-			cancel()
-			if reachable || se.ctx.Err() != nil {
-				return
-			}
+	sw.mu.Lock()
+	defer sw.mu.Unlock()
+	if !sw.stopped && sw.ctx.Err() == nil {
+		sw.timer.Reset(stallTimeout)
+	}
+}
+
+func (sw *stallWatch) isStalled() bool {
+	switch {
+	case sw.ctx.Err() != nil:
+		return false
+	case !sw.reachable():
+		if sw.hasStandby {
+			sw.di.Log.Info().Str("event", "stream_stalled").Str("endpoint", sw.endpoint.ID).Msg("dispatch: engine is unreachable; aborting its stream")
 		}
-		se.di.Log.Info().Str("event", "stream_stalled").Str("request", se.ta.ID).Str("endpoint", en.ID).Msg("dispatch: engine is unreachable; aborting its stream")
-		an.Abort()
-	})
+		return sw.hasStandby
+	case sw.run != nil && sw.madeProgress():
+		return sw.rescue()
+	default:
+		return false
+	}
+}
+
+// reachable probes the engine with new connections.
+func (sw *stallWatch) reachable() bool {
+	for range stallProbes {
+		ctx, cancel := context.WithTimeout(sw.ctx, probeTimeout)
+		reachable := sw.di.Reachable(ctx, sw.endpoint.Address)
+		cancel()
+		if reachable || sw.ctx.Err() != nil {
+			return true
+		}
+	}
+	return false
+}
+
+// madeProgress reports whether the engine has made events of the run since the
+// last examination, while no data arrived.
+func (sw *stallWatch) madeProgress() bool {
+	if sw.di.Progress == nil {
+		return false
+	}
+	_, arrivals := sw.state()
+	ctx, cancel := context.WithTimeout(sw.ctx, probeTimeout)
+	defer cancel()
+	made, err := sw.di.Progress(ctx, sw.endpoint, sw.run.ID)
+	if err != nil || !sw.recordProgress(arrivals, made) {
+		return false
+	}
+	// An event may be on its way.
+	pause.For(sw.ctx, sw.di.Clock, deliveryTime)
+	_, now := sw.state()
+	return now == arrivals
 }
 
-// resetStallTimer postpones the probe after data has been received.
-func (se *session) resetStallTimer() {
-	if se.stallTimer != nil {
-		se.stallTimer.Reset(stallTimeout)
+// recordProgress records a report and reports whether the run has made events
+// since the one before. A report is ignored if data has arrived in the meantime.
+func (sw *stallWatch) recordProgress(arrivals, made int) bool {
+	sw.mu.Lock()
+	defer sw.mu.Unlock()
+	if sw.arrivals != arrivals {
+		return false
 	}
+	before := sw.made
+	sw.made = made
+	return before != noReport && made > before
 }
 
-// stopStallTimer ends the watch started by startStallTimer.
-func (se *session) stopStallTimer() {
-	if se.stallTimer != nil {
-		se.stallTimer.Stop()
-		se.stallTimer = nil
+// rescue moves the run off its engine and reports whether that stopped it there.
+func (sw *stallWatch) rescue() bool {
+	sw.mu.Lock()
+	sw.rescues++
+	allowed := sw.rescues <= maxRescues
+	sw.mu.Unlock()
+	if !allowed {
+		return false
 	}
+	moved := sw.di.Runs.Rescue(sw.ctx, sw.run)
+	sw.di.Log.Info().Str("event", "stream_silent").Str("request", sw.run.ID).Str("endpoint", sw.endpoint.ID).Bool("moved", moved).
+		Msg("dispatch: engine goes on with a run whose connection is silent; moving the run")
+	return moved
 }
--- a/internal/dispatch/standby_test.go
+++ b/internal/dispatch/standby_test.go
@@ -2,15 +2,18 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
 	"filbertstall.example/filbertstall/internal/feed"
+	"filbertstall.example/filbertstall/internal/migration"
 	"filbertstall.example/filbertstall/internal/placement"
 	"filbertstall.example/filbertstall/internal/roster"
 )
@@ -154,3 +157,69 @@
 		})
 	}
 }
+
+// rescuer is a Runs that moves a run at once from e0 to e1 or back, if it may.
+type rescuer struct {
+	ha      *harness
+	fails   bool
+	rescues atomic.Int64
+}
+
+func (*rescuer) Add(*migration.Run) {}
+
+func (*rescuer) Remove(*migration.Run) {}
+
+func (rc *rescuer) Rescue(_ context.Context, ru *migration.Run) bool {
+	rc.rescues.Add(1)
+	if rc.fails {
+		return false
+	}
+	from, target := ru.Endpoint(), roster.Endpoint{}
+	for _, id := range []string{"e0", "e1"} {
+		if en, _ := rc.ha.Roster.View().Get(id); id != from.ID {
+			target = en
+		}
+	}
+	ru.Complete(migration.Moved{From: from, Handle: "h", Target: target, Ticket: rc.ha.Tracker.Begin(target, placement.Demand{})})
+	return true
+}
+
+// Scenario: a student's stream stops while the engine says that it is sending.
+// The engine is reachable over new connections; only its report tells whether it
+// pauses or the connection went silent. The stream goes on within three seconds.
+func TestSilentConnections(t *testing.T) {
+	for _, ca := range []struct {
+		name    string
+		made    func(report int) (int, error)
+		fails   bool
+		want    string
+		rescues int
+	}{
+		{"the engine makes events", func(report int) (int, error) { return 10 * report, nil }, false, numbered(1, 6), 1},
+		{"the engine pauses", func(int) (int, error) { return 3, nil }, false, numbered(1, 3), 0},
+		{"the engine pauses first", func(report int) (int, error) { return max(3, report), nil }, false, numbered(1, 6), 1},
+		{"the engine has no such run", func(int) (int, error) { return 0, errors.New("no such run") }, false, numbered(1, 3), 0},
+		{"the run can't be moved", func(report int) (int, error) { return report, nil }, true, numbered(1, 3), maxRescues},
+	} {
+		t.Run(ca.name, func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			ha := newHarness(t, silent, silent)
+			rc := &rescuer{ha: ha, fails: ca.fails}
+			ha.Runs = rc
+			ha.Reachable = func(context.Context, string) bool { return true }
+			var reports atomic.Int64
+			ha.Progress = func(context.Context, roster.Endpoint, string) (int, error) { return ca.made(int(reports.Add(1))) }
+			re := ha.longRequest()
+			re.Path, re.Target = "/long/", "/long/"
+			begun := time.Now()
+			got, err := readEvents(ha.Serve(t.Context(), re))
+			g.Expect(got).To(Equal(ca.want))
+			g.Expect(rc.rescues.Load()).To(BeNumerically("==", ca.rescues))
+			g.Expect(err == nil).To(Equal(got == numbered(1, 6)))
+			if err == nil && ca.name == "the engine makes events" {
+				g.Expect(time.Since(begun)).To(BeNumerically("<", 3*time.Second))
+			}
+		})
+	}
+}
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -8,8 +8,6 @@
 	"net/http"
 	"time"
 
-	"github.com/jonboulle/clockwork"
-
 	"filbertstall.example/filbertstall/internal/migration"
 	"filbertstall.example/filbertstall/internal/placement"
 	"filbertstall.example/filbertstall/internal/roster"
@@ -21,6 +19,9 @@
 type Runs interface {
 	Add(*migration.Run)
 	Remove(*migration.Run)
+	// Rescue moves one run off its engine, which stays, and reports whether the
+	// run was stopped there.
+	Rescue(context.Context, *migration.Run) bool
 }
 
 // errStreamBroken is the read error of an incomplete stream.
@@ -84,8 +85,8 @@
 	lastEventAt time.Time
 	// moves is the number of attempts to resume the stream.
 	moves int
-	// stallTimer is nil if the stream is not watched for stalls.
-	stallTimer clockwork.Timer
+	// stall is nil if the stream is not watched for stalls.
+	stall *stallWatch
 }
 
 // openSession starts the session of a stream whose header has arrived.
@@ -106,7 +107,7 @@
 			se.di.requestMoves(en)
 		}
 	}
-	se.startStallTimer()
+	se.startStallWatch()
 	return se
 }
 
@@ -132,9 +133,10 @@
 // the session or continues the run elsewhere.
 func (se *session) readMore() {
 	var buffer [readBufferBytes]byte
+	se.stall.awaitData()
 	count, err := se.answer.Read(buffer[:])
+	se.stall.dataArrived()
 	se.pending = append(se.pending, buffer[:count]...)
-	se.resetStallTimer()
 	se.scanEvents()
 	if err == nil {
 		return
@@ -214,7 +216,7 @@
 // continueStream resumes an interrupted stream where its run was moved to, or
 // from its standby copy. If neither is possible, it ends the stream.
 func (se *session) continueStream(cause error) {
-	se.stopStallTimer()
+	se.stopStallWatch()
 	se.answer.Close()
 	se.pending = se.pending[:se.completeBytes]
 	if se.ctx.Err() != nil || se.moves >= maxMoves {
@@ -274,7 +276,7 @@
 		Str("target", mv.Target.ID).Str("last_event", se.lastEvent).Msg("dispatch: stream resumed")
 	di.Meter.countAttempt("resumed")
 	se.endpoint, se.answer, se.ticket = mv.Target, an, mv.Ticket
-	se.startStallTimer()
+	se.startStallWatch()
 	if now, known := di.Roster.View().Get(mv.Target.ID); !known || now.Leaving {
 		di.requestMoves(mv.Target)
 	}
@@ -309,7 +311,7 @@
 // remaining complete events are delivered.
 func (se *session) finish(ou placement.Outcome, err error) {
 	se.endErr = err
-	se.stopStallTimer()
+	se.stopStallWatch()
 	se.answer.Close()
 	se.ticket.End(ou)
 	se.standby.release()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -42,6 +42,9 @@
 type Engines interface {
 	migration.Engines
 	healthcheck.Engines
+	// Progress returns the number of events that an engine says it has made of a
+	// run.
+	Progress(ctx context.Context, en roster.Endpoint, run string) (int, error)
 }
 
 // Adapter connects a gateway to a platform.
@@ -168,7 +171,7 @@
 	di := &dispatch.Dispatcher{
 		State: &gw.state, Roster: &gw.roster, Tracker: &gw.tracker, Sender: &gw.pool, Codec: gw.Adapter.Codec, Clock: gw.Clock, Log: gw.Log,
 		Budget: se.budget(gw.Clock, gw.instanceCount), MaxAges: gw.maxAges, InstanceCount: gw.instanceCount,
-		Runs: mover, Suspects: gw.suspects, Reachable: gw.pool.Reachable, Meter: &dispatch.Meter{Scope: gw.metrics.Scope},
+		Runs: mover, Suspects: gw.suspects, Reachable: gw.pool.Reachable, Progress: engines.Progress, Meter: &dispatch.Meter{Scope: gw.metrics.Scope},
 	}
 	gw.ingress = ingress.Server{Listener: li.callers, Codec: gw.Adapter.Codec, Dispatcher: di, Hangups: hangups, Clock: gw.Clock, Log: gw.Log}
 	gw.ingress.Prepare()
--- a/internal/migration/move.go
+++ b/internal/migration/move.go
@@ -78,8 +78,8 @@
 }
 
 // tryFinalCopy copies what has been added since the last copy. If the link
-// turns out to be idle or little time remains, it stops the run with a final
-// copy. It reports whether the move has ended, successfully or not.
+// turns out to be idle or little time remains, it makes the final copy. It
+// reports whether the move has ended, successfully or not.
 func (mo *Mover) tryFinalCopy(ctx context.Context, ev *evacuation, mv *move) bool {
 	en, notice := ev.source, ev.notice
 	_, took, err := mo.copyRun(ctx, en, mv, false)
@@ -91,26 +91,45 @@
 	if !shouldStop(took, mo.Clock.Since(notice)) {
 		return false
 	}
+	mo.finalCopy(ctx, ev, mv)
+	return true
+}
+
+// finalCopy stops a run, copies the rest of it and reports whether the run
+// continues at the target. Otherwise the move is abandoned.
+func (mo *Mover) finalCopy(ctx context.Context, ev *evacuation, mv *move) bool {
+	en := ev.source
 	if !mv.run.beginFinalCopy() {
 		mo.abandon(en, mv)
-		return true
+		return false
 	}
 	co, took, err := mo.copyRun(ctx, en, mv, true)
 	if err != nil {
 		mo.logCopyFailure("move_failed", en, mv, took, err)
 		mo.resumeAtSource(en, mv, co.Handle)
-		return true
+		return co.Handle != ""
 	}
 	mo.Log.Info().Str("event", "moved").Str("request", mv.run.ID).Str("endpoint", en.ID).Str("target", mv.target.ID).
-		Dur("took", took).Dur("since_notice", mo.Clock.Since(notice)).Msg("migration: run stopped and copied to its target")
+		Dur("took", took).Dur("since_notice", mo.Clock.Since(ev.notice)).Msg("migration: run stopped and copied to its target")
 	moved := Moved{From: en, Handle: co.Handle, Target: mv.target, Ticket: mv.ticket}
 	if !mv.run.finishFinalCopy(&moved) {
 		mv.handle = co.Handle
 		mo.abandon(en, mv)
+		return false
 	}
 	return true
 }
 
+// Rescue moves one run off its engine, which stays, because its stream is broken
+// while the engine goes on with the run. It reports whether the run was stopped
+// there, so that Run.Await returns where it continues.
+func (mo *Mover) Rescue(ctx context.Context, ru *Run) bool {
+	en := ru.Endpoint()
+	ev := &evacuation{source: en, notice: mo.Clock.Now(), attempts: make(map[*Run]int), full: map[string]bool{en.ID: true}}
+	mv := mo.startMove(ctx, ev, ru.snapshot())
+	return mv != nil && mo.finalCopy(ctx, ev, mv)
+}
+
 // logCopyFailure logs a failed copy. The event is move_failed for a final copy
 // and copy_failed for any other.
 func (mo *Mover) logCopyFailure(event string, en roster.Endpoint, mv *move, took time.Duration, err error) {
--- a/internal/migration/mover_test.go
+++ b/internal/migration/mover_test.go
@@ -337,3 +337,43 @@
 	g.Expect(maxTurnWait(0)).To(BeZero())
 	g.Expect(maxTurnWait(3)).To(Equal(3 * maxMoveTime))
 }
+
+// A run whose stream is broken is stopped and continues elsewhere, although its
+// engine does not leave.
+func TestRescue(t *testing.T) {
+	g := NewWithT(t)
+	ha := newHarness(copySucceeds)
+	ru, other := ha.addRun("r1"), ha.addRun("r2")
+	g.Expect(ha.Rescue(t.Context(), ru)).To(BeTrue())
+	mv, moved := await(ru)
+	g.Expect(moved).To(BeTrue())
+	g.Expect(mv.From.ID).To(Equal("e1"))
+	g.Expect(mv.Target.ID).NotTo(Equal("e1"))
+	g.Expect(ha.engines.calls()).To(HaveLen(2), "one copy while the run goes on, and the final one")
+	g.Expect(other.Stopping()).To(BeFalse())
+}
+
+func TestRescueFails(t *testing.T) {
+	for _, ca := range []struct {
+		name   string
+		answer func(run, target string, final bool) (Copied, error)
+	}{
+		{"the run has ended", func(string, string, bool) (Copied, error) { return Copied{}, ErrNoRun }},
+		{"no engine has room", func(string, string, bool) (Copied, error) { return Copied{}, ErrNoRoom }},
+		{"the final copy does not stop the run", func(_, target string, final bool) (Copied, error) {
+			if final {
+				return Copied{}, errors.New("lost")
+			}
+			return Copied{Handle: "h-" + target}, nil
+		}},
+	} {
+		t.Run(ca.name, func(t *testing.T) {
+			g := NewWithT(t)
+			ha := newHarness(ca.answer)
+			ru := ha.addRun("r1")
+			g.Expect(ha.Rescue(t.Context(), ru)).To(BeFalse())
+			g.Expect(ru.Stopping()).To(BeFalse())
+			g.Expect(ha.Tracker.Loads()).To(BeEmpty(), "the target's ticket is ended")
+		})
+	}
+}
