relay: keep a reader whose store answers slowly

Change: a reader gives up at 2.8 s, and followers accept 3.2 s; both below the 4.7 s for which keys are accepted.

--- a/internal/relay/direct.go
+++ b/internal/relay/direct.go
@@ -26,6 +26,10 @@
 	maxFailures           = 2
 	failingTime           = 400 * time.Millisecond
 	failedConfirmationAge = 1500 * time.Millisecond
+	// maxReaderAge is the age of the store's last confirmation beyond which a
+	// reader gives up. A store that answers slowly confirms every 1.4 s what was
+	// in force when it was asked, so that ages reach twice that.
+	maxReaderAge = 2800 * time.Millisecond
 	// relieveInterval is the interval at which a reader that is not the first
 	// candidate asks those before it whether they read the store.
 	relieveInterval = 3 * time.Second
@@ -97,7 +101,7 @@
 	if !answered {
 		return failing || reading > firstAnswerTimeout
 	}
-	return age > maxOwnConfirmationAge || failing && age > failedConfirmationAge
+	return age > maxReaderAge || failing && age > failedConfirmationAge
 }
 
 // isRelieved reports whether a candidate that comes before this one reads the
--- a/internal/relay/follow.go
+++ b/internal/relay/follow.go
@@ -32,12 +32,9 @@
 	// maxHops is the largest number of instances between a candidate and the
 	// store with which the candidate is followed.
 	maxHops = 2
-	// maxConfigurationAge, maxRelayedConfigurationAge and maxEndpointsAge are the
-	// largest ages with which a reader, an instance that follows a reader, and
-	// either of them are followed. Beyond them another candidate is the better
-	// source.
-	maxConfigurationAge        = 2500 * time.Millisecond
-	maxRelayedConfigurationAge = 3200 * time.Millisecond
+	// maxConfigurationAge and maxEndpointsAge are the largest ages with which a
+	// candidate is followed. Beyond them another one is the better source.
+	maxConfigurationAge = 3200 * time.Millisecond
 	// maxEndpointsAge is over twice the time that one call about endpoints
 	// waits. Without changes, the call that the store answered last was sent up
 	// to two such waits ago.
@@ -63,11 +60,7 @@
 
 // check returns an error if the sender of a status is not worth following.
 func (st Status) check() error {
-	maxAge := maxConfigurationAge
-	if !st.Direct {
-		maxAge = maxRelayedConfigurationAge
-	}
-	stale := st.ConfigurationAge > maxAge || st.EndpointsAge > maxEndpointsAge
+	stale := st.ConfigurationAge > maxConfigurationAge || st.EndpointsAge > maxEndpointsAge
 	switch {
 	case st.Unable && st.Hops == 0:
 		return errUnable
