relay: keep the form of an update that earlier versions send

An update held its sender's status in a field of its own, so that one of an earlier version counted as fresh: its ages were not read and were zero, which could keep a revoked key accepted during a rolling upgrade. Found on reading. Test: TestUpdateOfEarlierVersion, failing before.

--- a/internal/relay/follow.go
+++ b/internal/relay/follow.go
@@ -182,7 +182,7 @@
 	if err := sw.call(ctx, me, "Watch", qu, &up); err != nil {
 		return up, err
 	}
-	if err := up.check(); err != nil {
+	if err := up.status().check(); err != nil {
 		return up, err
 	}
 	if up.Reader == sw.Self.Name {
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -28,10 +28,17 @@
 
 // Update is a reader's answer to a Query.
 type Update struct {
-	Status
-
 	Epoch    int64
 	Sequence uint64
+	// Direct, Unable, Hops, Reader, ConfigurationAge and EndpointsAge are those of
+	// the sender's Status. They are fields of their own because an instance of an
+	// earlier version sends and reads them so.
+	Direct           bool
+	Unable           bool
+	Hops             int
+	Reader           string
+	ConfigurationAge time.Duration
+	EndpointsAge     time.Duration
 	// Silent reports that the store has not answered the sender, or the reader
 	// that the sender follows, since the last failed call.
 	Silent bool
@@ -52,6 +59,13 @@
 	Held time.Duration
 }
 
+// status returns the status of the sender.
+func (up Update) status() Status {
+	return Status{
+		Direct: up.Direct, Unable: up.Unable, Hops: up.Hops, Reader: up.Reader, ConfigurationAge: up.ConfigurationAge, EndpointsAge: up.EndpointsAge,
+	}
+}
+
 // Log records the changes of the endpoints and of the registered instances, and
 // serves them to other instances. Set the exported fields before use. It is safe
 // for concurrent use.
@@ -262,8 +276,10 @@
 
 // update builds the answer to a query. The caller holds mu.
 func (lo *Log) update(qu Query) Update {
+	st := lo.status()
 	up := Update{
-		Status: lo.status(), Epoch: lo.Epoch, Sequence: lo.endpoints.sequence, MembersSequence: lo.members.sequence,
+		Direct: st.Direct, Unable: st.Unable, Hops: st.Hops, Reader: st.Reader, ConfigurationAge: st.ConfigurationAge, EndpointsAge: st.EndpointsAge,
+		Epoch: lo.Epoch, Sequence: lo.endpoints.sequence, MembersSequence: lo.members.sequence,
 		Silent: lo.silent, Zones: lo.zones, Version: lo.version,
 	}
 	known := false
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -1,7 +1,9 @@
 package relay
 
 import (
+	"bytes"
 	"context"
+	"encoding/gob"
 	"errors"
 	"fmt"
 	"io"
@@ -198,7 +200,7 @@
 	sw.Caller = &caller{fail: errors.New("reader cannot provide the configuration")}
 	begun := no.boot.Now()
 	no.boot.Advance(1200 * time.Millisecond) // 1 s of this is the time that the reader held the call
-	up := Update{Version: 3, Status: Status{ConfigurationAge: 300 * time.Millisecond}, Held: time.Second}
+	up := Update{Version: 3, ConfigurationAge: 300 * time.Millisecond, Held: time.Second}
 	g.Expect(sw.confirm(context.Background(), loadshare.Member{}, up, begun+up.Held)).To(Succeed())
 	g.Expect(fetched).To(Equal(1), "a version that the reader cannot provide is fetched from the store")
 	age, confirmed := no.state.Age()
@@ -437,3 +439,27 @@
 func (cf callerFunc) Call(_ context.Context, _, method string, args, reply any) error {
 	return cf(method, args, reply)
 }
+
+// Instances are upgraded one after the other. One of an earlier version sends the
+// ages and Direct as it always did, and must not count as fresh for lack of them.
+func TestUpdateOfEarlierVersion(t *testing.T) {
+	g := NewWithT(t)
+	type earlierUpdate struct {
+		Epoch            int64
+		Sequence         uint64
+		Direct           bool
+		Silent           bool
+		Full             bool
+		Version          int64
+		ConfigurationAge time.Duration
+		EndpointsAge     time.Duration
+		Held             time.Duration
+	}
+	var buffer bytes.Buffer
+	sent := earlierUpdate{Epoch: 7, Direct: true, Version: 3, ConfigurationAge: 5 * time.Second, EndpointsAge: time.Second}
+	g.Expect(gob.NewEncoder(&buffer).Encode(sent)).To(Succeed())
+	var up Update
+	g.Expect(gob.NewDecoder(&buffer).Decode(&up)).To(Succeed())
+	g.Expect(up.status()).To(Equal(Status{Direct: true, ConfigurationAge: 5 * time.Second, EndpointsAge: time.Second}))
+	g.Expect(up.status().check()).To(MatchError(errStale))
+}
--- a/internal/relay/service.go
+++ b/internal/relay/service.go
@@ -42,7 +42,7 @@
 	return nil
 }
 
-// Status is the part of an Update that tells whether its sender can be followed.
+// Status tells whether an instance can be followed.
 type Status struct {
 	// Direct reports that the sender reads the store itself.
 	Direct bool
