--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -128,9 +128,7 @@
 	if se.Store != old.Store && gw.Adapter.Relocate != nil {
 		gw.Adapter.Relocate(se.Store)
 	}
-	restart := se.Callers != old.Callers || se.Readiness != old.Readiness || se.Metrics != old.Metrics ||
-		se.Instance != old.Instance || se.Zone != old.Zone
-	gw.Log.Info().Str("event", "reloaded").Str("store", se.Store).Dur("key_bound", se.KeyRevocationBound).Bool("restart_needed", restart).Msg("gateway: settings reloaded")
+	gw.Log.Info().Str("event", "reloaded").Str("store", se.Store).Dur("key_bound", se.KeyRevocationBound).Bool("restart_needed", se.needsRestart(*old)).Msg("gateway: settings reloaded")
 }
 
 // maxAges returns the maximum ages of the store's confirmations by the current
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -36,3 +36,9 @@
 	RetryWindow time.Duration
 	RetryExtra  float64
 }
+
+// needsRestart reports whether settings differ that Gateway.Reload does not apply.
+func (se Settings) needsRestart(old Settings) bool {
+	se.Store, se.KeyRevocationBound, se.ConfigurationBound = old.Store, old.KeyRevocationBound, old.ConfigurationBound
+	return se != old
+}
--- a/pkg/kind/configuration.go
+++ b/pkg/kind/configuration.go
@@ -25,7 +25,7 @@
 
 	teamByHash map[string]Team
 	byService  map[string][]Endpoint
-	byModel    map[string]Service
+	byModel    map[servedModel]Service
 }
 
 // NewConfiguration builds a configuration from a document. It checks that names
@@ -61,7 +61,7 @@
 func (cf *Configuration) index() error {
 	cf.teamByHash = make(map[string]Team, len(cf.teams.sorted))
 	cf.byService = make(map[string][]Endpoint, len(cf.services.sorted))
-	cf.byModel = make(map[string]Service, len(cf.services.sorted))
+	cf.byModel = make(map[servedModel]Service, len(cf.services.sorted))
 	for _, zo := range cf.zones.sorted {
 		if err := cf.checkHalf("zone", zo.Name, zo.Half); err != nil {
 			return err
@@ -115,13 +115,20 @@
 	if se.Type != ServiceModel {
 		return nil
 	}
-	if other, found := cf.byModel[se.Model]; found && other.Half == se.Half {
+	served := servedModel{model: se.Model, half: se.Half}
+	if other, found := cf.byModel[served]; found {
 		return &Error{Op: "service", Name: se.Name, Field: "model", Kind: Duplicate, Detail: "service " + other.Name + " of the same half serves it"}
 	}
-	cf.byModel[se.Model] = se
+	cf.byModel[served] = se
 	return nil
 }
 
+// servedModel is a model as one half serves it. At most one service does.
+type servedModel struct {
+	model string
+	half  string
+}
+
 func (cf *Configuration) indexEndpoint(en Endpoint) error {
 	if err := cf.checkHalf("endpoint", en.Name, en.Half); err != nil {
 		return err
--- a/pkg/kind/kind_test.go
+++ b/pkg/kind/kind_test.go
@@ -23,6 +23,19 @@
 	_ = flag.Set("rapid.nofailfile", "true")
 }
 
+var _ = Describe("Team.May", func() {
+	DescribeTable("tells what the role of a team includes",
+		func(role, want kind.Role, may bool) { Expect(kind.Team{Role: role}.May(want)).To(Equal(may)) },
+		Entry("the same role", kind.RolePlan, kind.RolePlan, true),
+		Entry("a lower one", kind.RoleConfirm, kind.RoleView, true),
+		Entry("a higher one", kind.RoleView, kind.RolePlan, false),
+		Entry("a caller's", kind.RoleConfirm, kind.RoleCaller, false),
+		Entry("callers have no role of operators", kind.RoleCaller, kind.RoleView, false),
+		Entry("one that does not exist", kind.RoleConfirm, kind.Role("owner"), false),
+		Entry("to a team with a role that does not exist", kind.Role("owner"), kind.RoleView, false),
+	)
+})
+
 var _ = Describe("Service.Idempotent", func() {
 	se := kind.Service{Routes: []kind.Route{
 		{Method: "GET", Path: "/catalogue/{id}", Idempotent: true},
@@ -53,6 +66,13 @@
 		Entry("endpoint without a URL", new(kind.Endpoint), `{"name":"e"}`, kind.Invalid),
 		Entry("endpoint with more cold sequences than sequences", new(kind.Endpoint), `{"name":"e","url":"http://127.0.0.1:1","capacity":{"sequences":1,"cold_sequences":2}}`, kind.Invalid),
 		Entry("configuration with a dangling zone", new(kind.Configuration), `{"services":[{"name":"s","type":"plain"}],"endpoints":[{"name":"e","service":"s","zone":"z","url":"http://127.0.0.1:1"}]}`, kind.Dangling),
+		Entry("two services of one half with one model, another half's between them", new(kind.Configuration), `{
+			"halves": [{"name": "east"}, {"name": "west"}],
+			"services": [
+				{"name": "a", "type": "model", "model": "m", "half": "west"},
+				{"name": "b", "type": "model", "model": "m", "half": "east"},
+				{"name": "c", "type": "model", "model": "m", "half": "west"}
+			]}`, kind.Duplicate),
 		Entry("two teams with one token", new(kind.Configuration), `{"teams":[{"name":"a","token_hashes":["`+kind.HashToken("t")+`"]},{"name":"b","token_hashes":["`+kind.HashToken("t")+`"]}]}`, kind.Duplicate),
 	)
 })
--- a/pkg/kind/team.go
+++ b/pkg/kind/team.go
@@ -44,13 +44,15 @@
 }
 
 // May reports whether the role of the team includes want. RoleCaller and the
-// roles of operators do not include each other.
+// roles of operators do not include each other, and no role includes an unknown
+// one.
 func (te Team) May(want Role) bool {
 	if want == RoleCaller || te.Role == RoleCaller {
 		return te.Role == want
 	}
 	order := []Role{RoleView, RolePlan, RoleConfirm}
-	return slices.Index(order, te.Role) >= slices.Index(order, want)
+	wanted := slices.Index(order, want)
+	return wanted >= 0 && slices.Index(order, te.Role) >= wanted
 }
 
 // WithWeight returns a copy of the team with another weight.
