--- a/internal/configuration/distribution.go
+++ b/internal/configuration/distribution.go
@@ -157,8 +157,8 @@
 // HandleNotice handles the announcement of a version by another instance. If
 // the version is higher than the one in force, it starts a fetch in the
 // background. If a fetch is already running, a notice of a higher version than
-// the fetched one makes another fetch follow, and each later notice replaces
-// the pending one. Before Run, HandleNotice does nothing.
+// those announced before makes another fetch follow. Before Run, HandleNotice
+// does nothing.
 func (di *Distributor) HandleNotice(no Notice) {
 	if no.Version <= di.State.Version() {
 		return
@@ -169,9 +169,8 @@
 		return
 	}
 	if di.fetching {
-		di.fetchPending = di.fetchPending || no.Version > di.targetNotice.Version
-		if di.fetchPending {
-			di.targetNotice = no
+		if no.Version > di.targetNotice.Version {
+			di.fetchPending, di.targetNotice = true, no
 		}
 		return
 	}
