--- a/pkg/client/call.go
+++ b/pkg/client/call.go
@@ -28,8 +28,7 @@
 type Answer struct {
 	Status      int
 	ContentType string
-	// Body is truncated if it is longer than 16 MiB.
-	Body []byte
+	Body        []byte
 	// Attempts is the number of times that the call was sent.
 	Attempts int
 }
@@ -80,9 +79,12 @@
 	if isProblem(resp) {
 		return Answer{}, problemError("call", resp)
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
 	if err != nil {
 		return Answer{}, &Error{Op: "call", Kind: Broken, Outcome: Unknown, Err: err}
 	}
+	if len(body) > maxAnswerBytes {
+		return Answer{}, &Error{Op: "call", Kind: TooLarge, Outcome: Unknown}
+	}
 	return Answer{Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type"), Body: body}, nil
 }
--- a/pkg/client/client_test.go
+++ b/pkg/client/client_test.go
@@ -149,3 +149,33 @@
 		Expect(sent.Load()).To(BeEquivalentTo(1))
 	})
 })
+
+var _ = Describe("An answer to a call", func() {
+	call := func(size int) (answer client.Answer, sent int64, err error) {
+		var count atomic.Int64
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			count.Add(1)
+			_, _ = w.Write(make([]byte, size))
+		}))
+		defer server.Close()
+		cl := &client.Client{Entries: []string{server.URL}}
+		answer, err = cl.Call(context.Background(), client.Call{Service: "s", Method: http.MethodGet, Path: "/x", Idempotent: true})
+		return answer, count.Load(), err
+	}
+	const limit = 16 << 20
+
+	It("is returned whole up to the limit", func() {
+		answer, _, err := call(limit)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(answer.Body).To(HaveLen(limit))
+	})
+
+	It("is an error beyond it, never a part of the answer, and is not asked for again", func() {
+		_, sent, err := call(limit + 1)
+		var er *client.Error
+		Expect(errors.As(err, &er)).To(BeTrue())
+		Expect(er.Kind).To(Equal(client.TooLarge))
+		Expect(er.Outcome).To(Equal(client.Unknown))
+		Expect(sent).To(BeEquivalentTo(1))
+	})
+})
--- a/pkg/client/error.go
+++ b/pkg/client/error.go
@@ -25,6 +25,9 @@
 	// Crossed means that an event belongs to another generation or does not have
 	// the expected offset.
 	Crossed Kind = "crossed"
+	// TooLarge means that the answer to a call is larger than 16 MiB. The call has
+	// run; its outcome is Unknown to this client.
+	TooLarge Kind = "too_large"
 	// Interrupted means that the context of the caller ended.
 	Interrupted Kind = "interrupted"
 )
@@ -83,7 +86,8 @@
 
 const (
 	problemType = "application/problem+json"
-	// maxAnswerBytes is the size to which the body of a response is truncated.
+	// maxAnswerBytes limits the body of a response. The text of a problem is
+	// truncated to it.
 	maxAnswerBytes = 16 << 20
 )
 
@@ -127,10 +131,10 @@
 }
 
 // permanent reports whether a retry is useless because the request itself is
-// invalid. The statuses 408, 409 and 429 and all from 500 on are temporary.
+// invalid or its answer too large. The statuses 408, 409 and 429 and all from 500 on are temporary.
 func (er *Error) permanent() bool {
 	if er.Kind != Refused {
-		return false
+		return er.Kind == TooLarge
 	}
 	switch er.Problem.Status {
 	case http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusConflict:
