--- a/internal/clocktest/clock.go
+++ b/internal/clocktest/clock.go
@@ -51,19 +51,19 @@
 	interval time.Duration
 
 	mu    sync.Mutex
-	under *time.Timer
+	inner *time.Timer
 }
 
 // arm starts the timer. One that is due fires at once.
 func (ti *timer) arm(wait time.Duration) {
 	if wait <= 0 {
-		ti.under = nil
+		ti.inner = nil
 		ti.fire()
 		return
 	}
 	ti.mu.Lock()
 	defer ti.mu.Unlock()
-	ti.under = time.AfterFunc(wait, ti.fire)
+	ti.inner = time.AfterFunc(wait, ti.fire)
 }
 
 // fire delivers the time. Like the real clock, a ticker drops ticks that are not
@@ -76,7 +76,7 @@
 	default:
 	}
 	if ti.interval > 0 {
-		ti.under.Reset(ti.interval)
+		ti.inner.Reset(ti.interval)
 	}
 }
 
@@ -95,7 +95,7 @@
 	ti.mu.Lock()
 	defer ti.mu.Unlock()
 	ti.interval = 0
-	active := ti.under != nil && ti.under.Stop()
+	active := ti.inner != nil && ti.inner.Stop()
 	select {
 	case <-ti.fired:
 	default:
