--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -256,7 +256,7 @@
 
 func (mo *moverOnce) Remove(*migration.Run) { mo.removed = true }
 
-func (*moverOnce) Rescue(context.Context, *migration.Run) bool { return false }
+func (*moverOnce) MoveOne(context.Context, *migration.Run) bool { return false }
 
 // A moved run continues after the last event that the caller received.
 func TestMovedStreamIsWhole(t *testing.T) {
--- a/internal/dispatch/stall.go
+++ b/internal/dispatch/stall.go
@@ -23,9 +23,9 @@
 	stallProbes = 2
 	// deliveryTime is the time in which an event that an engine has made arrives.
 	deliveryTime = 150 * time.Millisecond
-	// maxRescues limits how often one stream is moved off an engine that goes on
+	// maxForcedMoves limits how often one stream is moved off an engine that goes on
 	// with the run.
-	maxRescues = 3
+	maxForcedMoves = 3
 )
 
 // stallWatch watches an answer for a stall. A stream stalls in two ways, neither
@@ -56,8 +56,8 @@
 	arrivals int
 	// made is the number of events that the engine reported at the last
 	// examination since data arrived, or noReport.
-	made    int
-	rescues int
+	made        int
+	forcedMoves int
 }
 
 // noReport stands for an engine that has not reported on the run yet.
@@ -147,7 +147,7 @@
 		}
 		return sw.hasStandby
 	case sw.run != nil && sw.madeProgress():
-		return sw.rescue()
+		return sw.moveRun()
 	default:
 		return false
 	}
@@ -198,16 +198,16 @@
 	return before != noReport && made > before
 }
 
-// rescue moves the run off its engine and reports whether that stopped it there.
-func (sw *stallWatch) rescue() bool {
+// moveRun moves the run off its engine and reports whether that stopped it there.
+func (sw *stallWatch) moveRun() bool {
 	sw.mu.Lock()
-	sw.rescues++
-	allowed := sw.rescues <= maxRescues
+	sw.forcedMoves++
+	allowed := sw.forcedMoves <= maxForcedMoves
 	sw.mu.Unlock()
 	if !allowed {
 		return false
 	}
-	moved := sw.di.Runs.Rescue(sw.ctx, sw.run)
+	moved := sw.di.Runs.MoveOne(sw.ctx, sw.run)
 	sw.di.Log.Info().Str("event", "stream_silent").Str("request", sw.run.ID).Str("endpoint", sw.endpoint.ID).Bool("moved", moved).
 		Msg("dispatch: engine goes on with a run whose connection is silent; moving the run")
 	return moved
--- a/internal/dispatch/standby_test.go
+++ b/internal/dispatch/standby_test.go
@@ -158,19 +158,19 @@
 	}
 }
 
-// rescuer is a Runs that moves a run at once from e0 to e1 or back, if it may.
-type rescuer struct {
-	ha      *harness
-	fails   bool
-	rescues atomic.Int64
+// oneMover is a Runs that moves a run at once from e0 to e1 or back, if it may.
+type oneMover struct {
+	ha          *harness
+	fails       bool
+	forcedMoves atomic.Int64
 }
 
-func (*rescuer) Add(*migration.Run) {}
+func (*oneMover) Add(*migration.Run) {}
 
-func (*rescuer) Remove(*migration.Run) {}
+func (*oneMover) Remove(*migration.Run) {}
 
-func (rc *rescuer) Rescue(_ context.Context, ru *migration.Run) bool {
-	rc.rescues.Add(1)
+func (rc *oneMover) MoveOne(_ context.Context, ru *migration.Run) bool {
+	rc.forcedMoves.Add(1)
 	if rc.fails {
 		return false
 	}
@@ -189,23 +189,23 @@
 // pauses or the connection went silent. The stream goes on within three seconds.
 func TestSilentConnections(t *testing.T) {
 	for _, ca := range []struct {
-		name    string
-		made    func(report int) (int, error)
-		fails   bool
-		want    string
-		rescues int
+		name        string
+		made        func(report int) (int, error)
+		fails       bool
+		want        string
+		forcedMoves int
 	}{
 		{"the engine makes events", func(report int) (int, error) { return 10 * report, nil }, false, numbered(1, 6), 1},
 		{"the engine pauses", func(int) (int, error) { return 3, nil }, false, numbered(1, 3), 0},
 		{"the engine pauses first", func(report int) (int, error) { return max(3, report), nil }, false, numbered(1, 6), 1},
 		{"the engine has no such run", func(int) (int, error) { return 0, errors.New("no such run") }, false, numbered(1, 3), 0},
-		{"the run can't be moved", func(report int) (int, error) { return report, nil }, true, numbered(1, 3), maxRescues},
+		{"the run can't be moved", func(report int) (int, error) { return report, nil }, true, numbered(1, 3), maxForcedMoves},
 	} {
 		t.Run(ca.name, func(t *testing.T) {
 			t.Parallel()
 			g := NewWithT(t)
 			ha := newHarness(t, silent, silent)
-			rc := &rescuer{ha: ha, fails: ca.fails}
+			rc := &oneMover{ha: ha, fails: ca.fails}
 			ha.Runs = rc
 			ha.Reachable = func(context.Context, string) bool { return true }
 			var reports atomic.Int64
@@ -215,7 +215,7 @@
 			begun := time.Now()
 			got, err := readEvents(ha.Serve(t.Context(), re))
 			g.Expect(got).To(Equal(ca.want))
-			g.Expect(rc.rescues.Load()).To(BeNumerically("==", ca.rescues))
+			g.Expect(rc.forcedMoves.Load()).To(BeNumerically("==", ca.forcedMoves))
 			g.Expect(err == nil).To(Equal(got == numbered(1, 6)))
 			if err == nil && ca.name == "the engine makes events" {
 				g.Expect(time.Since(begun)).To(BeNumerically("<", 3*time.Second))
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -19,9 +19,9 @@
 type Runs interface {
 	Add(*migration.Run)
 	Remove(*migration.Run)
-	// Rescue moves one run off its engine, which stays, and reports whether the
+	// MoveOne moves one run off its engine, which stays, and reports whether the
 	// run was stopped there.
-	Rescue(context.Context, *migration.Run) bool
+	MoveOne(context.Context, *migration.Run) bool
 }
 
 // errStreamBroken is the read error of an incomplete stream.
--- a/internal/migration/move.go
+++ b/internal/migration/move.go
@@ -120,10 +120,10 @@
 	return true
 }
 
-// Rescue moves one run off its engine, which stays, because its stream is broken
+// MoveOne moves one run off its engine, which stays, because its stream is broken
 // while the engine goes on with the run. It reports whether the run was stopped
 // there, so that Run.Await returns where it continues.
-func (mo *Mover) Rescue(ctx context.Context, ru *Run) bool {
+func (mo *Mover) MoveOne(ctx context.Context, ru *Run) bool {
 	en := ru.Endpoint()
 	ev := &evacuation{source: en, notice: mo.Clock.Now(), attempts: make(map[*Run]int), full: map[string]bool{en.ID: true}}
 	mv := mo.startMove(ctx, ev, ru.snapshot())
--- a/internal/migration/mover_test.go
+++ b/internal/migration/mover_test.go
@@ -340,11 +340,11 @@
 
 // A run whose stream is broken is stopped and continues elsewhere, although its
 // engine does not leave.
-func TestRescue(t *testing.T) {
+func TestMoveOne(t *testing.T) {
 	g := NewWithT(t)
 	ha := newHarness(copySucceeds)
 	ru, other := ha.addRun("r1"), ha.addRun("r2")
-	g.Expect(ha.Rescue(t.Context(), ru)).To(BeTrue())
+	g.Expect(ha.MoveOne(t.Context(), ru)).To(BeTrue())
 	mv, moved := await(ru)
 	g.Expect(moved).To(BeTrue())
 	g.Expect(mv.From.ID).To(Equal("e1"))
@@ -353,7 +353,7 @@
 	g.Expect(other.Stopping()).To(BeFalse())
 }
 
-func TestRescueFails(t *testing.T) {
+func TestMoveOneFails(t *testing.T) {
 	for _, ca := range []struct {
 		name   string
 		answer func(run, target string, final bool) (Copied, error)
@@ -371,7 +371,7 @@
 			g := NewWithT(t)
 			ha := newHarness(ca.answer)
 			ru := ha.addRun("r1")
-			g.Expect(ha.Rescue(t.Context(), ru)).To(BeFalse())
+			g.Expect(ha.MoveOne(t.Context(), ru)).To(BeFalse())
 			g.Expect(ru.Stopping()).To(BeFalse())
 			g.Expect(ha.Tracker.Loads()).To(BeEmpty(), "the target's ticket is ended")
 		})
--- a/internal/relay/direct.go
+++ b/internal/relay/direct.go
@@ -30,9 +30,9 @@
 	// reader gives up. A store that answers slowly confirms every 1.4 s what was
 	// in force when it was asked, so that ages reach twice that.
 	maxReaderAge = 2800 * time.Millisecond
-	// relieveInterval is the interval at which a reader that is not the first
+	// replacedInterval is the interval at which a reader that is not the first
 	// candidate asks those before it whether they read the store.
-	relieveInterval = 3 * time.Second
+	replacedInterval = 3 * time.Second
 	// lapseTime is the age of the store's last confirmation beyond which entries
 	// may be missing from the store because their endpoints could not renew them
 	// during an outage.
@@ -82,9 +82,9 @@
 		if sw.isUnable(sw.confirmedSince(beganAt), sw.Clock.Since(begun)) {
 			return true
 		}
-		if sw.Clock.Since(asked) >= relieveInterval {
+		if sw.Clock.Since(asked) >= replacedInterval {
 			asked = sw.Clock.Now()
-			if sw.isRelieved(ctx) {
+			if sw.isReplaced(ctx) {
 				return false
 			}
 		}
@@ -104,9 +104,9 @@
 	return age > maxReaderAge || failing && age > failedConfirmationAge
 }
 
-// isRelieved reports whether a candidate that comes before this one reads the
+// isReplaced reports whether a candidate that comes before this one reads the
 // store, too.
-func (sw *Switch) isRelieved(ctx context.Context) bool {
+func (sw *Switch) isReplaced(ctx context.Context) bool {
 	list := sw.candidates()
 	before := slices.IndexFunc(list, func(me loadshare.Member) bool { return me.Name == sw.Self.Name })
 	return slices.ContainsFunc(sw.askAll(ctx, list[:before]), func(so source) bool { return so.status.Direct })
--- a/internal/relay/follow.go
+++ b/internal/relay/follow.go
@@ -87,7 +87,7 @@
 	following, retried := false, false
 	for ctx.Err() == nil {
 		up, err := sw.update(ctx, me, qu)
-		if own && !following && sw.Clock.Since(begun) < sw.patience(err) {
+		if own && !following && sw.Clock.Since(begun) < sw.readyWait(err) {
 			if sw.isUrgent() {
 				return errUrgent
 			}
@@ -130,9 +130,9 @@
 	return peer.IsKind(err, peer.Lost) && !errors.Is(err, context.DeadlineExceeded)
 }
 
-// patience returns how long a candidate of this zone may answer with this error
+// readyWait returns how long a candidate of this zone may answer with this error
 // until it is given up. It may be about to read the store, or to start.
-func (sw *Switch) patience(err error) time.Duration {
+func (sw *Switch) readyWait(err error) time.Duration {
 	switch {
 	case errors.Is(err, errStale), sw.starting() && peer.IsKind(err, peer.Unreachable):
 		return readyTimeout
--- a/internal/relay/switch.go
+++ b/internal/relay/switch.go
@@ -26,10 +26,10 @@
 	skipTime    = 5 * time.Second
 	maxSkipTime = 10 * time.Second
 	// maxOwnConfirmationAge is the age of the store's last confirmation beyond
-	// which an instance follows any that has a fresh one, and detourTime is how
+	// which an instance follows any that has a fresh one, and alternativeTime is how
 	// long it does so before it tries the candidates of its zone in order again.
 	maxOwnConfirmationAge = 2200 * time.Millisecond
-	detourTime            = 4 * time.Second
+	alternativeTime       = 4 * time.Second
 	// retryDelay is the pause after an attempt without a confirmation, and
 	// retryDelayPerInstance what each instance of the deployment adds to it: all
 	// of them ask the same few.
@@ -184,14 +184,14 @@
 }
 
 // followAny follows an instance that has a fresh confirmation of the store, in
-// this zone or another one, for up to detourTime. The store may reject the first
+// this zone or another one, for up to alternativeTime. The store may reject the first
 // candidates of a zone, or all of them, and still answer others.
 func (sw *Switch) followAny(ctx context.Context) {
 	me, found := sw.findFresh(ctx)
 	if !found {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, detourTime)
+	ctx, cancel := context.WithTimeout(ctx, alternativeTime)
 	defer cancel()
 	_ = sw.follow(ctx, me, false)
 }
--- a/internal/relay/zone_test.go
+++ b/internal/relay/zone_test.go
@@ -317,7 +317,7 @@
 		g.Expect(fl.readers()).To(BeNumerically("<=", 10))
 		g.Expect(fl.takeCalls()).To(BeNumerically("<=", 3*5*settledCalls))
 		fl.set(func() { clear(fl.rejected) })
-		time.Sleep(maxSkipTime + detourTime + 2*relieveInterval)
+		time.Sleep(maxSkipTime + alternativeTime + 2*replacedInterval)
 		g.Expect(fl.readers()).To(Equal(5), "the preferred readers are back")
 	})
 }
@@ -353,7 +353,7 @@
 	for _, mb := range fl.instances {
 		g.Expect(mb.state.Load().Version).To(Equal(int64(2)), mb.self.Name)
 	}
-	time.Sleep(maxSkipTime + detourTime + 2*relieveInterval)
+	time.Sleep(maxSkipTime + alternativeTime + 2*replacedInterval)
 	before, _ = fl.net.Traffic()
 	time.Sleep(8 * time.Second)
 	after, _ = fl.net.Traffic()
