backpressure: decode and log what endpoints say of further requests

Neither a log line nor a metric told whether an instance had seen an endpoint's rate limit, so none of the three hypotheses could be told from another. Each answer of an endpoint, on every path that sends to one (requests, resumed streams, moves, probes), now passes backpressure.Sender, which decodes its signal once and logs each change: endpoint_limited and endpoint_limit_ended, endpoint_leaving, endpoint_retry_after, and endpoint_signal_malformed for what can't be decoded; endpoint_signals counts them.

Nothing decides by it yet: no behaviour changes.

--- /dev/null
+++ b/internal/backpressure/signal.go
@@ -0,0 +1,64 @@
+package backpressure
+
+import (
+	"math"
+	"time"
+)
+
+// Signal is what one answer of an endpoint says about further requests. The zero
+// Signal means that the endpoint takes them without reservation.
+type Signal struct {
+	// Leaving means that the endpoint is shutting down.
+	Leaving bool
+	// Limit is the endpoint's rate limit for all instances together.
+	Limit Limit
+	// RetryAfter is the time for which the endpoint wants no requests from this
+	// instance. Zero means that it did not ask for a pause.
+	RetryAfter time.Duration
+	// Malformed lists the parts of the signal that could not be decoded. They
+	// change nothing of what is known.
+	Malformed []Part
+}
+
+// Part is a part of a Signal.
+type Part string
+
+// The parts of a Signal that have values.
+const (
+	PartLimit      Part = "limit"
+	PartRetryAfter Part = "retry_after"
+)
+
+const (
+	// maxRate is the highest rate limit that is taken as meant, in requests per
+	// second.
+	maxRate = 1e6
+	// maxRetryAfter is the longest pause that is taken as meant.
+	maxRetryAfter = time.Hour
+)
+
+// Limit is a rate limit. The zero Limit means that there is none.
+type Limit struct {
+	// Rate is the number of requests per second.
+	Rate float64
+	// Named is set if the endpoint named a limit.
+	Named bool
+}
+
+// NewLimit returns the limit of an endpoint that takes rate requests per second. It
+// returns false if no endpoint can mean that rate.
+func NewLimit(rate float64) (Limit, bool) {
+	if math.IsNaN(rate) || rate < 0 || rate > maxRate {
+		return Limit{}, false
+	}
+	return Limit{Rate: rate, Named: true}, true
+}
+
+// NewRetryAfter returns a pause of the given number of seconds. It returns false if
+// no endpoint can mean that pause.
+func NewRetryAfter(seconds float64) (time.Duration, bool) {
+	if math.IsNaN(seconds) || seconds < 0 || seconds > maxRetryAfter.Seconds() {
+		return 0, false
+	}
+	return time.Duration(seconds * float64(time.Second)), true
+}
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -75,7 +75,7 @@
 		at.MaxIdle = maxIdleIdempotent
 	}
 	ti := di.Tracker.Begin(en, de.demand)
-	an, err := di.Sender.Do(ctx, di.Codec.Call(ta.Request, at))
+	an, err := di.Sender.Do(ctx, en, di.Codec.Call(ta.Request, at))
 	if err != nil {
 		return di.handleSendError(ctx, ta, en, ti, err)
 	}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -16,9 +16,9 @@
 	"filbertstall.example/filbertstall/internal/upstream"
 )
 
-// Sender sends calls to endpoints. upstream.Pool implements it.
+// Sender sends calls to endpoints. backpressure.Sender implements it.
 type Sender interface {
-	Do(ctx context.Context, ca upstream.Call) (*upstream.Answer, error)
+	Do(ctx context.Context, en roster.Endpoint, ca upstream.Call) (*upstream.Answer, error)
 }
 
 // Dispatcher answers requests. Set the exported fields before the first
--- a/internal/dispatch/harness_test.go
+++ b/internal/dispatch/harness_test.go
@@ -17,6 +17,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/rs/zerolog"
 
+	"filbertstall.example/filbertstall/internal/backpressure"
 	"filbertstall.example/filbertstall/internal/boottime"
 	"filbertstall.example/filbertstall/internal/budget"
 	"filbertstall.example/filbertstall/internal/feed"
@@ -148,6 +149,14 @@
 	replicas []*replica
 }
 
+// newSender returns a sender whose endpoints say nothing about further requests.
+func newSender(clock clockwork.Clock, boot boottime.Clock) Sender {
+	return &backpressure.Sender{
+		Transport: &upstream.Pool{IDHeader: "Id", Clock: clock}, Registry: &backpressure.Registry{Boot: boot, Log: zerolog.Nop()},
+		Decode: func(*upstream.Answer) backpressure.Signal { return backpressure.Signal{} },
+	}
+}
+
 func newHarness(t *testing.T, scripts ...func(net.Conn, *http.Request)) *harness {
 	t.Helper()
 	clock := clockwork.NewRealClock()
@@ -157,7 +166,7 @@
 		State: &routing.State{Clock: boot}, Roster: &roster.Roster{Clock: clock, Log: zerolog.Nop()},
 		Tracker: &placement.LoadTracker{Clock: clock, Zone: "a", Instance: "i"},
 		Budget:  &budget.Window{Clock: clock, Span: time.Minute, Extra: func() float64 { return 2 }},
-		Sender:  &upstream.Pool{IDHeader: "Id", Clock: clock}, Codec: testCodec{}, Clock: clock, Log: zerolog.Nop(),
+		Sender:  newSender(clock, boot), Codec: testCodec{}, Clock: clock, Log: zerolog.Nop(),
 		MaxAges:       func() MaxAges { return MaxAges{Key: 4 * time.Second, Deny: 4 * time.Second} },
 		InstanceCount: func() int { return 1 },
 	}}
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -263,7 +263,7 @@
 		Resume: &Resume{Source: mv.From.Address, Handle: mv.Handle, LastEvent: se.lastEvent},
 	}
 	di.Budget.Force(se.ta.service.Name)
-	an, err := di.Sender.Do(se.ctx, di.Codec.Call(se.ta.Request, at))
+	an, err := di.Sender.Do(se.ctx, mv.Target, di.Codec.Call(se.ta.Request, at))
 	if err != nil {
 		return err
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -11,6 +11,7 @@
 	"github.com/valyala/fasthttp"
 	"github.com/valyala/fasthttp/fasthttpadaptor"
 
+	"filbertstall.example/filbertstall/internal/backpressure"
 	"filbertstall.example/filbertstall/internal/boottime"
 	"filbertstall.example/filbertstall/internal/controller"
 	"filbertstall.example/filbertstall/internal/dispatch"
@@ -36,6 +37,9 @@
 type Codec interface {
 	dispatch.Codec
 	ingress.Codec
+	// Signal returns what the header of an answer says about further requests to
+	// its endpoint.
+	Signal(an *upstream.Answer) backpressure.Signal
 }
 
 // Engines sends migration commands and health checks to engines.
@@ -89,6 +93,7 @@
 	suspects    *suspicion.Registry
 	moveOrder   loadshare.MoveOrder
 	pool        upstream.Pool
+	signals     backpressure.Registry
 	ingress     ingress.Server
 	ready       *readiness
 	metrics     *metric.Root
@@ -160,14 +165,16 @@
 	gw.tracker = placement.LoadTracker{Clock: gw.Clock, Zone: se.Zone, Instance: se.Instance, Changes: make(chan struct{}, 1)}
 	gw.moveOrder = loadshare.MoveOrder{Instance: se.Instance, Changes: gw.tracker.Changes}
 	gw.pool = upstream.Pool{IDHeader: gw.Adapter.IDHeader, Clock: gw.Clock}
-	engines := gw.Adapter.Engines(&gw.pool)
+	gw.signals = backpressure.Registry{Boot: gw.Boot, Log: gw.Log, Scope: gw.metrics.Scope}
+	sender := &backpressure.Sender{Transport: &gw.pool, Decode: gw.Adapter.Codec.Signal, Registry: &gw.signals}
+	engines := gw.Adapter.Engines(sender)
 	mover := &migration.Mover{Engines: engines, Roster: &gw.roster, Tracker: &gw.tracker, Clock: gw.Clock, Log: gw.Log, MoveOrder: &gw.moveOrder}
 	gw.roster = roster.Roster{Clock: gw.Clock, Log: gw.Log, OnLeave: mover.Evacuate, OnChange: gw.relay.Observe}
 	gw.relay = relay.Log{Boot: gw.Boot, Roster: &gw.roster, State: &gw.state, Members: &gw.members, Now: gw.Clock.Now, Epoch: gw.Clock.Now().UnixNano()}
 	gw.suspects = &suspicion.Registry{Caller: &peer.Client{}, Peers: gw.crashRecipients, Clock: gw.Clock}
 	hangups := &hangup.Watcher{Clock: gw.Clock}
 	di := &dispatch.Dispatcher{
-		State: &gw.state, Roster: &gw.roster, Tracker: &gw.tracker, Sender: &gw.pool, Codec: gw.Adapter.Codec, Clock: gw.Clock, Log: gw.Log,
+		State: &gw.state, Roster: &gw.roster, Tracker: &gw.tracker, Sender: sender, Codec: gw.Adapter.Codec, Clock: gw.Clock, Log: gw.Log,
 		Budget: se.budget(gw.Clock, gw.instanceCount), MaxAges: gw.maxAges, InstanceCount: gw.instanceCount,
 		Runs: mover, Suspects: gw.suspects, Reachable: gw.pool.Reachable, Progress: engines.Progress, Meter: &dispatch.Meter{Scope: gw.metrics.Scope},
 	}
--- a/internal/gateway/readiness.go
+++ b/internal/gateway/readiness.go
@@ -82,7 +82,9 @@
 		if tick%ticksPerPrune == 0 {
 			ex.gw.pool.Prune()
 			vi := ex.gw.roster.View()
-			ex.gw.tracker.Forget(func(id string) bool { _, known := vi.Get(id); return known })
+			known := func(id string) bool { _, found := vi.Get(id); return found }
+			ex.gw.tracker.Forget(known)
+			ex.gw.signals.Forget(known)
 		}
 	}
 }
--- a/internal/ingress/server_test.go
+++ b/internal/ingress/server_test.go
@@ -16,6 +16,7 @@
 	"github.com/rs/zerolog"
 	"github.com/valyala/fasthttp"
 
+	"filbertstall.example/filbertstall/internal/backpressure"
 	"filbertstall.example/filbertstall/internal/boottime"
 	"filbertstall.example/filbertstall/internal/budget"
 	"filbertstall.example/filbertstall/internal/dispatch"
@@ -103,7 +104,10 @@
 	}
 	di := &dispatch.Dispatcher{
 		State: st, Roster: ro, Tracker: &placement.LoadTracker{Clock: clock}, Budget: &budget.Window{Clock: clock, Span: time.Minute, Extra: func() float64 { return 0 }}, Codec: testCodec{},
-		Sender: &upstream.Pool{IDHeader: "Id", Clock: clock}, Clock: clock, Log: zerolog.Nop(), InstanceCount: func() int { return 1 },
+		Sender: &backpressure.Sender{
+			Transport: &upstream.Pool{IDHeader: "Id", Clock: clock}, Decode: func(*upstream.Answer) backpressure.Signal { return backpressure.Signal{} },
+			Registry: &backpressure.Registry{Boot: boottime.System{}, Log: zerolog.Nop()},
+		}, Clock: clock, Log: zerolog.Nop(), InstanceCount: func() int { return 1 },
 		MaxAges: func() dispatch.MaxAges { return dispatch.MaxAges{Key: time.Hour, Deny: time.Hour} },
 	}
 	ln, err := net.Listen("tcp4", "127.0.0.1:0")
