--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -25,6 +25,9 @@
 	maxObjectives = 2
 	// maxQueues is the number of endpoints at which a request asks for a later turn.
 	maxQueues = 2
+	// maxPauseSpread is the time over which requests that wait for the end of an
+	// endpoint's pause are spread.
+	maxPauseSpread = 300 * time.Millisecond
 	// minLoggedWait is the shortest wait for an endpoint that is logged.
 	minLoggedWait = 20 * time.Millisecond
 	// maxPermitAttempts limits how often a request asks again after a permit expired
@@ -111,8 +114,10 @@
 	pe, err := di.Gate.Request(ctx, en, di.terms(ta, en, bound))
 	var er *backpressure.Error
 	if errors.As(err, &er) && er.Kind == backpressure.Paused && er.After < bound {
-		pause.For(ctx, di.Clock, er.After)
-		pe, err = di.Gate.Request(ctx, en, di.terms(ta, en, bound-er.After))
+		// The requests that wait for the end of a pause do not arrive all at once.
+		wait := er.After + rand.N(min(bound-er.After, maxPauseSpread))
+		pause.For(ctx, di.Clock, wait)
+		pe, err = di.Gate.Request(ctx, en, di.terms(ta, en, bound-wait))
 	}
 	if err != nil {
 		return nil, err
