writetimeout: give a caller that reads slowly its whole answer

It could happen here: an answer that is not a stream is one write, and the timeout was for the whole write, so a caller that read a large answer steadily for over 16 s was cut off in the middle. Answers are written in parts of 64 KiB now, each within the timeout; a caller that stops reading is still cut.

--- a/internal/writetimeout/conn.go
+++ b/internal/writetimeout/conn.go
@@ -77,8 +77,24 @@
 	return co.Conn.Close()
 }
 
+// maxWriteBytes is the largest part of an answer that must be written within the
+// timeout. A caller that reads slowly but steadily gets a large answer in many parts.
+const maxWriteBytes = 64 << 10
+
 // Write implements net.Conn. It must not be called concurrently.
 func (co *Conn) Write(data []byte) (int, error) {
+	written := 0
+	for {
+		part := data[written:min(len(data), written+maxWriteBytes)]
+		count, err := co.writePart(part)
+		written += count
+		if err != nil || written == len(data) {
+			return written, err
+		}
+	}
+}
+
+func (co *Conn) writePart(data []byte) (int, error) {
 	if now := time.Now(); now.Sub(co.deadlineSet) > deadlineStep {
 		co.deadlineSet = now
 		if err := co.SetWriteDeadline(now.Add(co.timeout + deadlineStep)); err != nil {
