upstream: a call without an ID does not take a late answer of another

Requests of callers were safe: the answer must repeat their ID. Calls to engines (reports, moves) have none, and took the copy for their own answer, such as another run's. An answer with an ID is skipped for them now. TestLateAnswerBeforeCallWithoutID failed before (got "first" for "report").

--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -21,8 +21,8 @@
 	// Host is the value of the Host header field.
 	Host string
 	// ID is the value that the answer must have in the field Pool.IDHeader. Do does
-	// not send it, so Headers must contain it as well. If it is empty, any answer is
-	// accepted.
+	// not send it, so Headers must contain it as well. If it is empty, the answer must
+	// not have the field: it would belong to an earlier call on the same connection.
 	ID      string
 	Headers []Header
 	Body    []byte
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -89,7 +89,7 @@
 		}
 		an := newAnswer(po, cn, &head, ca.Method)
 		cn.idleLimit = idleLimitOf(an.Get("Keep-Alive"))
-		if ca.ID == "" || an.Get(po.IDHeader) == ca.ID {
+		if an.Get(po.IDHeader) == ca.ID {
 			return an, nil
 		}
 		// Only a reused connection can carry an answer to an earlier request. The
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -305,3 +305,37 @@
 		t.Run(ca.name, func(t *testing.T) { NewWithT(t).Expect(string(ca.call.head())).To(Equal(ca.head)) })
 	}
 }
+
+// A second copy of an answer arrives late on a kept connection, just after a call
+// without an ID was sent there. That call must not take it for its own answer.
+func TestLateAnswerBeforeCallWithoutID(t *testing.T) {
+	g := NewWithT(t)
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(func() { _ = ln.Close() })
+	const first = "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 5\r\n\r\nfirst"
+	go func() {
+		conn, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		rd := bufio.NewReader(conn)
+		_, _ = http.ReadRequest(rd)
+		_, _ = io.WriteString(conn, first)
+		_, _ = http.ReadRequest(rd)
+		_, _ = io.WriteString(conn, first+"HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nreport")
+	}()
+	po := &Pool{IDHeader: "Id", Clock: clockwork.NewRealClock()}
+	address := ln.Addr().String()
+	an, err := po.Do(context.Background(), Call{Address: address, Method: "GET", Target: "/", Host: "h", ID: "1", MaxIdle: time.Second})
+	g.Expect(err).NotTo(HaveOccurred())
+	_, err = an.ReadAll(100)
+	g.Expect(err).NotTo(HaveOccurred())
+	an.Close()
+	an, err = po.Do(context.Background(), Call{Address: address, Method: "GET", Target: "/report", Host: "h", MaxIdle: time.Second})
+	g.Expect(err).NotTo(HaveOccurred())
+	body, err := an.ReadAll(100)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(string(body)).To(Equal("report"))
+	an.Close()
+}
