A panic ends one request, call or round of a controller, not the process

It could happen here: fasthttp and net/rpc run handlers without recovery, and a controller's panic ends the process.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
+	"runtime/debug"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -123,10 +125,15 @@
 		cancel()
 	})
 	defer unregister()
-	gr := controller.Group{Controllers: controllers}
+	gr := controller.Group{Controllers: controllers, OnPanic: gw.logPanic}
 	return gr.Run(running)
 }
 
+// logPanic logs that a controller panicked and is run again.
+func (gw *Gateway) logPanic(name string, cause any) {
+	gw.Log.Error().Str("event", "panicked").Str("controller", name).Str("cause", fmt.Sprint(cause)).Str("stack", string(debug.Stack())).Msg("gateway: a controller panicked; running it again")
+}
+
 // Reload applies a changed address of the store, KeyRevocationBound and
 // ConfigurationBound. All other settings keep their values until the next start.
 // A call before Run has no effect.
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -62,7 +64,7 @@
 func (se *Server) Prepare() {
 	se.base, se.cancelAll = context.WithCancelCause(context.Background())
 	se.server = fasthttp.Server{
-		Handler: se.serve, NoDefaultServerHeader: true, NoDefaultDate: true, NoDefaultContentType: true,
+		Handler: se.handle, NoDefaultServerHeader: true, NoDefaultDate: true, NoDefaultContentType: true,
 		MaxRequestBodySize: maxBodyBytes, ReadBufferSize: maxHeaderBytes, ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
 		CloseOnShutdown: true, DisablePreParseMultipartForm: true, Logger: writetimeout.QuietLogger{},
 	}
@@ -109,6 +111,34 @@
 // InFlight returns the number of requests that are being served.
 func (se *Server) InFlight() int { return int(se.inFlight.Load()) }
 
+// handle answers one request. A panic ends only this request.
+func (se *Server) handle(ctx *fasthttp.RequestCtx) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			ctx.Response.Reset()
+			refuse(ctx, &dispatch.Request{}, se.refusalOfPanic("", cause))
+		}
+	}()
+	se.serve(ctx)
+}
+
+// refusalOfPanic logs a panic and returns the refusal of its request.
+func (se *Server) refusalOfPanic(request string, cause any) *refusal.Error {
+	err := fmt.Errorf("panic: %v", cause)
+	se.Log.Error().Str("event", "panicked").Str("request", request).Err(err).Str("stack", string(debug.Stack())).Msg("ingress: a request panicked; only this request fails")
+	return refusal.From(err)
+}
+
+// dispatch lets the dispatcher answer a request. A panic becomes a refusal.
+func (se *Server) dispatch(ctx context.Context, re *dispatch.Request) (rp dispatch.Reply) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			rp = dispatch.Reply{Refusal: se.refusalOfPanic(re.ID, cause)}
+		}
+	}()
+	return se.Dispatcher.Serve(ctx, re)
+}
+
 func (se *Server) serve(ctx *fasthttp.RequestCtx) {
 	re := se.Codec.Request(ctx, se.Clock.Now())
 	se.inFlight.Add(1)
@@ -119,7 +149,7 @@
 		cancel(nil)
 		se.inFlight.Add(-1)
 	}
-	rp := se.Dispatcher.Serve(requestCtx, re)
+	rp := se.dispatch(requestCtx, re)
 	if se.stopping.Load() {
 		ctx.Response.SetConnectionClose()
 	}
@@ -128,7 +158,7 @@
 		refuse(ctx, re, rp.Refusal)
 	case rp.Events != nil:
 		se.writeHead(ctx, rp)
-		ctx.Response.SetBodyStream(&eventBody{Reply: rp, release: release}, -1)
+		ctx.Response.SetBodyStream(&eventBody{Reply: rp, release: release, log: se.Log}, -1)
 		return
 	default:
 		se.writeHead(ctx, rp)
@@ -199,11 +229,20 @@
 type eventBody struct {
 	dispatch.Reply
 	release func()
+	log     zerolog.Logger
 	closed  bool
 }
 
-// Read implements io.Reader.
-func (eb *eventBody) Read(into []byte) (int, error) { return eb.Events.Read(into) }
+// Read implements io.Reader. A panic ends the stream as incomplete.
+func (eb *eventBody) Read(into []byte) (count int, err error) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			count, err = 0, fmt.Errorf("ingress: panic in a stream: %v", cause)
+			eb.log.Error().Str("event", "panicked").Err(err).Str("stack", string(debug.Stack())).Msg("ingress: a stream panicked; only this stream ends")
+		}
+	}()
+	return eb.Events.Read(into)
+}
 
 // Close implements io.Closer. The HTTP library calls it after the last read.
 func (eb *eventBody) Close() error {
--- a/internal/ingress/server_test.go
+++ b/internal/ingress/server_test.go
@@ -4,10 +4,12 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -265,3 +267,101 @@
 	_, _, err := get(t, url+"/x")
 	g.Expect(err).To(HaveOccurred())
 }
+
+// panickingCodec panics on one path before and on another after the request is
+// decoded.
+type panickingCodec struct{ testCodec }
+
+func (pc panickingCodec) Request(ctx *fasthttp.RequestCtx, arrived time.Time) *dispatch.Request {
+	if string(ctx.Path()) == "/decode" {
+		panic("unexpected request")
+	}
+	return pc.testCodec.Request(ctx, arrived)
+}
+
+func (pc panickingCodec) Call(re *dispatch.Request, at dispatch.Attempt) upstream.Call {
+	if re.Path == "/call" {
+		panic("unexpected call")
+	}
+	return pc.testCodec.Call(re, at)
+}
+
+// One request that makes the instance panic took the whole process down.
+func TestPanicEndsOneRequest(t *testing.T) {
+	g := NewWithT(t)
+	se, url := start(t, endpoint(t, answer))
+	se.Codec, se.Dispatcher.Codec = panickingCodec{}, panickingCodec{}
+	for _, path := range []string{"/decode", "/call"} {
+		resp, _, err := get(t, url+path)
+		g.Expect(err).NotTo(HaveOccurred(), path)
+		g.Expect(resp.StatusCode).To(Equal(http.StatusInternalServerError), path)
+	}
+	_, body, err := get(t, url+"/x")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(body).To(Equal("body"))
+	g.Expect(se.InFlight()).To(BeZero())
+}
+
+// Callers keep using their open connections while the instance stops. Each request
+// that reached the endpoint is answered completely.
+func TestStopUnderLoad(t *testing.T) {
+	g := NewWithT(t)
+	var mu sync.Mutex
+	ran := make(map[string]bool)
+	se, url := start(t, endpoint(t, func(conn net.Conn, id string) {
+		mu.Lock()
+		ran[id] = true
+		mu.Unlock()
+		time.Sleep(time.Duration(len(id)) * time.Millisecond)
+		answer(conn, id)
+	}))
+	answered := make(map[string]bool)
+	var wg sync.WaitGroup
+	stopped := make(chan struct{})
+	for client := range 40 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			hc := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}}
+			defer hc.CloseIdleConnections()
+			for ix := 0; ; ix++ {
+				select {
+				case <-stopped:
+					return
+				default:
+				}
+				id := fmt.Sprintf("%d-%d", client, ix)
+				re, _ := http.NewRequest(http.MethodPost, url+"/x", strings.NewReader("b"))
+				re.GetBody = nil
+				re.Header.Set("Id", id)
+				resp, err := hc.Do(re)
+				if err != nil {
+					continue
+				}
+				body, err := io.ReadAll(resp.Body)
+				_ = resp.Body.Close()
+				if err == nil && (string(body) == "body" || resp.StatusCode != http.StatusOK) {
+					mu.Lock()
+					answered[id] = true
+					mu.Unlock()
+				}
+			}
+		}()
+	}
+	time.Sleep(200 * time.Millisecond)
+	se.AnnounceShutdown()
+	time.Sleep(50 * time.Millisecond)
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	se.Stop(ctx)
+	close(stopped)
+	wg.Wait()
+	cut := 0
+	for id := range ran {
+		if !answered[id] {
+			cut++
+		}
+	}
+	g.Expect(len(ran)).To(BeNumerically(">", 100))
+	g.Expect(cut).To(BeZero(), "of %d requests that ran", len(ran))
+}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -174,6 +174,15 @@
 	return se.rpc.RegisterName(name, service)
 }
 
+// Recover turns a panic of a net/rpc method into its error. The method defers it with
+// its named result. net/rpc runs methods on goroutines of its own, so that a panic
+// would end the process.
+func Recover(err *error) {
+	if cause := recover(); cause != nil {
+		*err = fmt.Errorf("peer: panic: %v", cause)
+	}
+}
+
 // Run accepts connections until ctx ends.
 func (se *Server) Run(ctx context.Context) error {
 	stop := context.AfterFunc(ctx, func() { _ = se.Listener.Close() })
--- a/internal/ratelimit/allocator.go
+++ b/internal/ratelimit/allocator.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"filbertstall.example/filbertstall/internal/boottime"
+	"filbertstall.example/filbertstall/internal/peer"
 )
 
 // Allocator gives out the requests of the endpoints for which this instance is the
@@ -119,7 +120,8 @@
 func (al *Allocator) Service() *Service { return &Service{al: al} }
 
 // Take is Allocator.Take as net/rpc requires it.
-func (se *Service) Take(ar TakeArgs, re *TakeReply) error {
+func (se *Service) Take(ar TakeArgs, re *TakeReply) (err error) {
+	defer peer.Recover(&err)
 	*re = se.al.Take(ar)
 	return nil
 }
--- a/internal/relay/service.go
+++ b/internal/relay/service.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"filbertstall.example/filbertstall/internal/peer"
 )
 
 // ServiceName is the name under which Service is registered with a peer.Server.
@@ -28,7 +30,8 @@
 
 // Configuration returns the configuration in force; its version is zero if
 // there is none.
-func (se *Service) Configuration(_ None, te *Text) error {
+func (se *Service) Configuration(_ None, te *Text) (err error) {
+	defer peer.Recover(&err)
 	if cf := se.lo.State.Load(); cf != nil {
 		te.Version, te.Source = cf.Version, cf.Source()
 	}
@@ -36,7 +39,8 @@
 }
 
 // Watch answers a query with Wait.
-func (se *Service) Watch(qu Query, up *Update) error {
+func (se *Service) Watch(qu Query, up *Update) (err error) {
+	defer peer.Recover(&err)
 	qu.Wait = min(qu.Wait, maxWait)
 	*up = se.lo.Wait(context.Background(), qu)
 	return nil
@@ -62,7 +66,8 @@
 }
 
 // Status returns the state of this instance as a reader.
-func (se *Service) Status(_ None, st *Status) error {
+func (se *Service) Status(_ None, st *Status) (err error) {
+	defer peer.Recover(&err)
 	se.lo.mu.Lock()
 	defer se.lo.mu.Unlock()
 	*st = se.lo.status()
--- a/internal/suspicion/registry.go
+++ b/internal/suspicion/registry.go
@@ -269,13 +269,15 @@
 func (re *Registry) Service() *Service { return &Service{re: re} }
 
 // Share merges one case of a peer.
-func (se *Service) Share(ca *Case, _ *Reply) error {
+func (se *Service) Share(ca *Case, _ *Reply) (err error) {
+	defer peer.Recover(&err)
 	se.re.merge(*ca)
 	return nil
 }
 
 // All returns the cases that are within retention.
-func (se *Service) All(_ *Query, reply *Reply) error {
+func (se *Service) All(_ *Query, reply *Reply) (err error) {
+	defer peer.Recover(&err)
 	reply.Cases = se.re.cases()
 	return nil
 }
