dispatch: only a complete event ends a stall

Operators' list: stalled streams that sent a byte now and then never ended. Here each byte restarted the watch, so that such a stream lasted until its route's timeout, although its engine went on with the run. Only a complete event counts now. A slow engine that reports no progress is left alone.

--- a/internal/dispatch/stall.go
+++ b/internal/dispatch/stall.go
@@ -52,7 +52,7 @@
 	// waiting is set while the session waits for data. A session whose caller
 	// reads slowly does not.
 	waiting bool
-	// arrivals is the number of times that data arrived.
+	// arrivals is the number of times that complete events arrived.
 	arrivals int
 	// made is the number of events that the engine reported at the last
 	// examination since data arrived, or noReport.
@@ -86,19 +86,23 @@
 	}
 }
 
-// awaitData begins a wait for data. It has no effect on a nil watch.
+// awaitData begins a wait for the next event. It has no effect on a nil watch.
 func (sw *stallWatch) awaitData() {
 	if sw == nil {
 		return
 	}
 	sw.mu.Lock()
 	defer sw.mu.Unlock()
-	sw.waiting = true
-	sw.timer.Reset(stallTimeout)
+	// A read that got only a part of an event does not begin a new wait.
+	if !sw.waiting {
+		sw.waiting = true
+		sw.timer.Reset(stallTimeout)
+	}
 }
 
-// dataArrived ends the wait. It has no effect on a nil watch.
-func (sw *stallWatch) dataArrived() {
+// eventArrived ends the wait. Parts of an event do not end it: an endpoint that sends
+// a byte now and then is as stalled as one that sends none. It has no effect on a nil watch.
+func (sw *stallWatch) eventArrived() {
 	if sw == nil {
 		return
 	}
--- a/internal/dispatch/standby_test.go
+++ b/internal/dispatch/standby_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -132,6 +133,25 @@
 	_, _ = conn.Read(make([]byte, 1))
 }
 
+// dribbles streams three events and then one byte of another event now and then. If
+// the run is resumed from a copy, it streams the rest.
+func dribbles(conn net.Conn, re *http.Request) {
+	if re.Header.Get("From") != "" {
+		events(4, 6, true)(conn, re)
+		return
+	}
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nProof: p\r\nTransfer-Encoding: chunked\r\n\r\n", re.Header.Get("Id"))
+	for ix := 1; ix <= 3; ix++ {
+		chunk(conn, fmt.Sprintf("id: %d\ndata: x\n\n", ix))
+	}
+	for range 40 {
+		time.Sleep(stallTimeout / 4)
+		if _, err := io.WriteString(conn, "1\r\ni\r\n"); err != nil {
+			return
+		}
+	}
+}
+
 // Scenario: a zone is partitioned, and streams into or out of it stall. A
 // stream is aborted only if its engine is also unreachable, because a preempted
 // run pauses for as long.
@@ -194,17 +214,20 @@
 		fails       bool
 		want        string
 		forcedMoves int
+		script      func(net.Conn, *http.Request)
 	}{
-		{"the engine makes events", func(report int) (int, error) { return 10 * report, nil }, false, numbered(1, 6), 1},
-		{"the engine pauses", func(int) (int, error) { return 3, nil }, false, numbered(1, 3), 0},
-		{"the engine pauses first", func(report int) (int, error) { return max(3, report), nil }, false, numbered(1, 6), 1},
-		{"the engine has no such run", func(int) (int, error) { return 0, errors.New("no such run") }, false, numbered(1, 3), 0},
-		{"the run can't be moved", func(report int) (int, error) { return report, nil }, true, numbered(1, 3), maxForcedMoves},
+		{"the engine makes events", func(report int) (int, error) { return 10 * report, nil }, false, numbered(1, 6), 1, silent},
+		{"the connection brings a byte now and then", func(report int) (int, error) { return 10 * report, nil }, false, numbered(1, 6), 1, dribbles},
+		{"a slow engine sends a byte now and then", func(int) (int, error) { return 3, nil }, false, numbered(1, 3), 0, dribbles},
+		{"the engine pauses", func(int) (int, error) { return 3, nil }, false, numbered(1, 3), 0, silent},
+		{"the engine pauses first", func(report int) (int, error) { return max(3, report), nil }, false, numbered(1, 6), 1, silent},
+		{"the engine has no such run", func(int) (int, error) { return 0, errors.New("no such run") }, false, numbered(1, 3), 0, silent},
+		{"the run can't be moved", func(report int) (int, error) { return report, nil }, true, numbered(1, 3), maxForcedMoves, silent},
 	} {
 		t.Run(ca.name, func(t *testing.T) {
 			t.Parallel()
 			g := NewWithT(t)
-			ha := newHarness(t, silent, silent)
+			ha := newHarness(t, ca.script, ca.script)
 			rc := &oneMover{ha: ha, fails: ca.fails}
 			ha.Runs = rc
 			ha.Reachable = func(context.Context, string) bool { return true }
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -136,9 +136,12 @@
 	var buffer [readBufferBytes]byte
 	se.stall.awaitData()
 	count, err := se.answer.Read(buffer[:])
-	se.stall.dataArrived()
 	se.pending = append(se.pending, buffer[:count]...)
+	before := se.events
 	se.scanEvents()
+	if se.events > before {
+		se.stall.eventArrived()
+	}
 	if err == nil {
 		return
 	}
