dispatch: don't send a request whose time has passed

The caller's time did not stop a request from being sent over a kept connection, or it was refused as possibly run (timed_out). Now it is not sent, and the refusal says that it has not run. TestRequestAfterItsTime failed before.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -72,6 +72,9 @@
 // answer and its ticket.
 func (di *Dispatcher) attempt(ctx context.Context, ta *task, de destination) result {
 	en := de.endpoint
+	if ctx.Err() != nil || ta.remaining(di.Clock.Now()) <= 0 {
+		return di.handleEndedBeforeSend(ctx, ta)
+	}
 	ta.markTried(en)
 	at := Attempt{Endpoint: en, Remaining: ta.remaining(di.Clock.Now()), Team: ta.team, PassCredential: ta.passCredential, Standby: de.standby.address(), MaxIdle: maxIdleNonIdempotent}
 	if ta.route.RetryClass == routing.Idempotent {
@@ -96,6 +99,17 @@
 	return result{step: deliver, answer: an, verdict: ve, ticket: ti}
 }
 
+// handleEndedBeforeSend handles a request whose caller left or whose time passed
+// before it was sent, as when the process was paused. Nobody waits for its answer.
+func (di *Dispatcher) handleEndedBeforeSend(ctx context.Context, ta *task) result {
+	er := refusal.New(refusal.DeadlinePassed, "the time of the request passed before it was sent")
+	if cause := context.Cause(ctx); cause != nil && !errors.Is(cause, context.DeadlineExceeded) {
+		er = refusal.New(refusal.CallerGone, "the caller left before the request was sent")
+	}
+	er.Dispatched = ta.ran > 0
+	return result{step: giveUp, refusal: er}
+}
+
 var errNotGenuine = errors.New("dispatch: the answer lacks the endpoint's signature or has an unexpected form")
 
 // handleSendError handles a call that returned no answer.
--- a/internal/dispatch/limit_test.go
+++ b/internal/dispatch/limit_test.go
@@ -175,3 +175,19 @@
 	g.Expect(ql.given["e0"] + ql.given["e1"]).To(Equal(1))
 	g.Expect(time.Since(begun)).To(BeNumerically(">=", 100*time.Millisecond))
 }
+
+// The process was paused for longer than the caller waits: the request is not sent,
+// and the refusal says so. Sent over a kept connection, it ran for nobody.
+func TestRequestAfterItsTime(t *testing.T) {
+	g := NewWithT(t)
+	ha := newHarness(t, succeeds)
+	g.Expect(ha.send("/read/x").Status).To(Equal(200), "leaves a connection to reuse")
+	for _, path := range []string{"/read/x", "/post/x", "/stream/x"} {
+		re := ha.request(path)
+		re.Arrived = ha.Clock.Now().Add(-3 * time.Second)
+		rp := ha.Serve(t.Context(), re)
+		g.Expect(reasonOf(rp)).To(Equal(refusal.DeadlinePassed), path)
+		g.Expect(rp.Refusal.Rule().Outcome).To(Equal(refusal.NotRun), path)
+	}
+	g.Expect(ha.received()).To(Equal(1))
+}
