upstream: keep the connection after a chunked answer

From the list of faults that readers found: an answer in chunks left its last line break unread, so that its connection was never used again (3 calls, 3 connections), and one whose last line break had not arrived was kept although that would come before the next answer. The line break is read if it is there; otherwise, or with a trailer, the connection is closed. TestChunkedAnswersKeepTheirConnection failed before in both cases.

--- a/internal/upstream/answer.go
+++ b/internal/upstream/answer.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"errors"
 	"io"
 	"net/http"
@@ -76,8 +77,7 @@
 // Close ends the call. The connection is returned to the pool if the whole request
 // was written, the whole answer was read, the endpoint keeps the connection open,
 // the context has not ended and no unread data is buffered. Otherwise it is closed,
-// which cancels the request at the endpoint. After a chunked body it is closed as
-// well, because the reader of chunks leaves the final line break in the buffer.
+// which cancels the request at the endpoint.
 func (an *Answer) Close() {
 	if an.closed {
 		return
@@ -108,7 +108,7 @@
 	case method == http.MethodHead || an.Status == http.StatusNoContent || an.Status == http.StatusNotModified:
 		an.body, an.bodyRead = http.NoBody, true
 	case length == chunkedLength:
-		an.body = httputil.NewChunkedReader(cn.rd)
+		an.body = &chunkedReader{Reader: httputil.NewChunkedReader(cn.rd), rd: cn.rd, an: an}
 	case length >= 0:
 		an.body, an.bodyRead = &fixedReader{rd: cn.rd, remaining: length}, length == 0
 	default:
@@ -117,6 +117,35 @@
 	return an
 }
 
+// chunkedReader reads a chunked body and the line break after its last chunk, which
+// the reader of the standard library leaves unread.
+type chunkedReader struct {
+	io.Reader
+	rd *bufio.Reader
+	// an is the answer. Its connection is not kept if anything but the line break
+	// follows, such as trailer fields.
+	an *Answer
+}
+
+var lineBreak = []byte("\r\n")
+
+// Read implements io.Reader. It does not wait for the line break, which usually comes
+// with the last chunk: the body is complete without it.
+func (cr *chunkedReader) Read(into []byte) (int, error) {
+	count, err := cr.Reader.Read(into)
+	if !errors.Is(err, io.EOF) || cr.an.bodyRead {
+		return count, err
+	}
+	if cr.rd.Buffered() < len(lineBreak) {
+		cr.an.keepAlive = false
+		return count, err
+	}
+	if next, _ := cr.rd.Peek(len(lineBreak)); bytes.Equal(next, lineBreak) {
+		_, _ = cr.rd.Discard(len(lineBreak))
+	}
+	return count, err
+}
+
 // fixedReader reads a body of known length. It returns io.ErrUnexpectedEOF if the
 // connection ends before that.
 type fixedReader struct {
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -339,3 +340,53 @@
 	g.Expect(string(body)).To(Equal("report"))
 	an.Close()
 }
+
+// A connection is kept after a chunked answer, unless the endpoint sends more than the
+// answer.
+func TestChunkedAnswersKeepTheirConnection(t *testing.T) {
+	for _, ca := range []struct {
+		name, body  string
+		connections int32
+	}{
+		{"complete", "4\r\nbody\r\n0\r\n\r\n", 1},
+		{"more than the answer", "4\r\nbody\r\n0\r\n\r\nx", 3},
+		{"trailer", "4\r\nbody\r\n0\r\nT: x\r\n\r\n", 3},
+		{"no line break at the end", "4\r\nbody\r\n0\r\n", 3},
+	} {
+		t.Run(ca.name, func(t *testing.T) {
+			g := NewWithT(t)
+			ln, err := net.Listen("tcp4", "127.0.0.1:0")
+			g.Expect(err).NotTo(HaveOccurred())
+			t.Cleanup(func() { _ = ln.Close() })
+			var connections atomic.Int32
+			go func() {
+				for {
+					conn, err := ln.Accept()
+					if err != nil {
+						return
+					}
+					connections.Add(1)
+					go func() {
+						rd := bufio.NewReader(conn)
+						for {
+							if _, err := http.ReadRequest(rd); err != nil {
+								return
+							}
+							_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n"+ca.body)
+						}
+					}()
+				}
+			}()
+			po := &Pool{IDHeader: "Id", Clock: clockwork.NewRealClock()}
+			for range 3 {
+				an, err := po.Do(context.Background(), Call{Address: ln.Addr().String(), Method: "GET", Target: "/", Host: "h", ID: "1", MaxIdle: time.Second})
+				g.Expect(err).NotTo(HaveOccurred())
+				body, err := an.ReadAll(100)
+				g.Expect(err).NotTo(HaveOccurred())
+				g.Expect(string(body)).To(Equal("body"))
+				an.Close()
+			}
+			g.Expect(connections.Load()).To(Equal(ca.connections))
+		})
+	}
+}
