--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -1,7 +1,6 @@
 package roster
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 	"sync"
@@ -78,29 +77,6 @@
 	view       snapshot.Holder[View]
 }
 
-// departedPeriod is how long a removed endpoint is remembered. A store that is
-// restored comes back from a copy that is seconds old.
-const departedPeriod = time.Minute
-
-// silencePeriod is the time after which the store removes the entry of an endpoint
-// that does not renew it.
-const silencePeriod = 4 * time.Second
-
-// unconfirmedEntry is an entry in the copy from which the store was restored. Its
-// endpoint is used if the store still has it after silencePeriod, or if the endpoint
-// changes it.
-type unconfirmedEntry struct {
-	object feed.Object[Endpoint]
-	until  time.Time
-}
-
-// departure is the removal of an endpoint.
-type departure struct {
-	started int64
-	leaving bool
-	at      time.Time
-}
-
 // View returns the newest view; it is empty before the first update.
 func (ro *Roster) View() *View {
 	if vi := ro.view.Load(); vi != nil {
@@ -132,44 +108,6 @@
 	})
 }
 
-// Restored implements feed.Sink. As after an outage, endpoints that are missing from
-// the next list are retained until they have had time to write their entries again.
-func (ro *Roster) Restored() {
-	ro.mu.Lock()
-	defer ro.mu.Unlock()
-	ro.storeLost, ro.restored = true, true
-}
-
-// awaitsConfirmation reports whether a listed entry is not believed yet, because the
-// store was restored from a copy and the endpoint had been removed.
-func (ro *Roster) awaitsConfirmation(ob feed.Object[Endpoint], now time.Time) bool {
-	de, departed := ro.departed[ob.Name]
-	if !departed || ob.Value == nil || ob.Value.Started != de.started {
-		return false
-	}
-	if _, waiting := ro.unconfirmed[ob.Name]; waiting || !ro.restored {
-		return waiting
-	}
-	if ro.unconfirmed == nil {
-		ro.unconfirmed = make(map[string]unconfirmedEntry)
-	}
-	ro.unconfirmed[ob.Name] = unconfirmedEntry{object: ob, until: now.Add(silencePeriod)}
-	ro.Log.Info().Str("event", "entry_restored").Str("endpoint", ob.Name).Msg("roster: the restored store has an endpoint that was removed; not using it until it is known to live")
-	return true
-}
-
-// confirmEntries uses the endpoints that have renewed their entries in a restored
-// store.
-func (ro *Roster) confirmEntries(now time.Time) (left []Endpoint) {
-	for id, ue := range ro.unconfirmed {
-		if !now.Before(ue.until) {
-			delete(ro.unconfirmed, id)
-			left = append(left, ro.put(ue.object, now)...)
-		}
-	}
-	return left
-}
-
 // Apply implements feed.Sink.
 func (ro *Roster) Apply(list []feed.Change[Endpoint]) {
 	ro.update(func(now time.Time) (left []Endpoint) {
@@ -358,16 +296,6 @@
 	return []Endpoint{en}
 }
 
-// recordDeparture remembers a removed endpoint, and forgets those of long ago.
-func (ro *Roster) recordDeparture(en Endpoint) {
-	now := ro.Clock.Now()
-	if ro.departed == nil {
-		ro.departed = make(map[string]departure)
-	}
-	maps.DeleteFunc(ro.departed, func(_ string, de departure) bool { return now.Sub(de.at) > departedPeriod })
-	ro.departed[en.ID] = departure{started: en.Started, leaving: en.Leaving, at: now}
-}
-
 func (ro *Roster) removeExpired(now time.Time) (left []Endpoint) {
 	for id, until := range ro.retained {
 		if !now.Before(until) {
@@ -393,58 +321,3 @@
 		ro.OnLeave(en)
 	}
 }
-
-func (ro *Roster) newView() *View {
-	vi := &View{Listed: ro.listed, evacuated: slices.Sorted(maps.Keys(ro.evacuated)), byService: make(map[string][]Endpoint), byID: make(map[string]Endpoint, len(ro.endpoints))}
-	for _, en := range ro.endpoints {
-		vi.byID[en.ID] = en
-		if !en.Leaving && !ro.evacuated[en.Zone] {
-			vi.byService[en.Service] = append(vi.byService[en.Service], en)
-		}
-	}
-	for _, list := range vi.byService {
-		slices.SortFunc(list, func(a, b Endpoint) int { return cmp.Compare(a.ID, b.ID) })
-	}
-	return vi
-}
-
-// View is an immutable snapshot of the known endpoints.
-type View struct {
-	// Listed reports whether the store has been listed at least once.
-	Listed    bool
-	byService map[string][]Endpoint
-	byID      map[string]Endpoint
-	evacuated []string
-}
-
-// All returns all endpoints by ID, including leaving ones. The caller must not
-// change the map.
-func (vi *View) All() map[string]Endpoint { return vi.byID }
-
-// Evacuated returns the sorted zones whose endpoints get no new requests.
-func (vi *View) Evacuated() []string { return vi.evacuated }
-
-// Ready returns the endpoints of a service that may get requests, sorted by ID.
-func (vi *View) Ready(service string) []Endpoint { return vi.byService[service] }
-
-// Len returns the number of endpoints, of all services, that may get requests.
-func (vi *View) Len() int {
-	count := 0
-	for _, list := range vi.byService {
-		count += len(list)
-	}
-	return count
-}
-
-// Usable returns the endpoint with this ID and whether it may get requests.
-func (vi *View) Usable(id string) (Endpoint, bool) {
-	en, found := vi.byID[id]
-	_, evacuated := slices.BinarySearch(vi.evacuated, en.Zone)
-	return en, found && !en.Leaving && !evacuated
-}
-
-// Get returns the endpoint with this ID, including a leaving one.
-func (vi *View) Get(id string) (Endpoint, bool) {
-	en, found := vi.byID[id]
-	return en, found
-}
