--- a/internal/ratelimit/peers.go
+++ b/internal/ratelimit/peers.go
@@ -108,6 +108,9 @@
 			continue
 		}
 		vi.Alive++
+		if best.sameZone && me.Zone != zone {
+			continue
+		}
 		if ra := (rankOf{sameZone: me.Zone == zone, hash: xxhash.Sum64String(endpoint + "/" + me.Name)}); vi.Allocator == nil || best.before(ra) {
 			vi.Allocator, best = &list[ix], ra
 		}
