member: states beyond the first 16 of a report are not taken as live

A report of another zone's silent members names 16 at most; all that it did not name were cleared, so that of 48 silent members 32 counted as live and got requests. A report of full length clears none now, and names others each time. TestReportsNameAllMembers: 16 of 48 before (tried with the old condition), 48 now.

--- a/internal/member/probe.go
+++ b/internal/member/probe.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -161,7 +162,8 @@
 
 // applyReportedStates stores the states that an instance of another zone
 // reports for its zone. It clears the states of members that the report does not
-// name, because live members are not reported.
+// name, because live members are not reported. A report of the greatest length may
+// lack some, so that it clears none.
 func (ta *Table) applyReportedStates(re ProbeReply) {
 	if re.Zone == ta.Self.Zone {
 		return
@@ -173,8 +175,11 @@
 	ta.mu.Lock()
 	defer ta.mu.Unlock()
 	for name, en := range ta.entries {
-		if en.Zone == re.Zone {
-			en.reportedState = reportedState[name]
+		if en.Zone != re.Zone {
+			continue
+		}
+		if state, reported := reportedState[name]; reported || len(re.News) < maxReportedStates {
+			en.reportedState = state
 		}
 	}
 }
@@ -222,13 +227,24 @@
 		return nil
 	}
 	for _, me := range ta.View().In(own.Zone, Joining, Leaving, Suspected, Gone) {
-		if len(re.News) < maxReportedStates && me.Name != own.Name {
+		if me.Name != own.Name {
 			re.News = append(re.News, News{Name: me.Name, State: me.State})
 		}
 	}
+	re.News = sample(re.News)
 	return nil
 }
 
+// sample returns at most maxReportedStates states, chosen at random, so that several
+// reports name all members.
+func sample(list []News) []News {
+	if len(list) <= maxReportedStates {
+		return list
+	}
+	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	return list[:maxReportedStates]
+}
+
 // Contacts returns the peer addresses of all members that are not gone, and
 // records the contact with the caller.
 func (se *Service) Contacts(args ProbeArgs, list *[]Contact) error {
