trace: lead from a request refused under a rate limit to the endpoint that named it

refused carries the endpoint, and trace shows what it said last of its limit, however long before. An instance without others does not ask them after the store was restored (read on a review: it had no switch to ask with).

--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -104,6 +104,7 @@
 		return destination{endpoint: ca.endpoint, demand: dm, permit: pe}, nil
 	}
 	er := refusal.New(refusal.RateLimited, "the endpoints of "+ta.service.Name+" limit their requests; the next to take one is "+list[0].endpoint.ID)
+	er.Endpoint = list[0].endpoint.ID
 	return destination{}, er.WithRetryAfter(spread(max(after, busyRetryAfter)))
 }
 
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -188,7 +188,7 @@
 	}
 	age, _ := di.State.Age()
 	di.Log.Info().Str("event", "refused").Str("request", re.ID).Str("reason", string(er.Reason)).
-		Str("outcome", string(er.Rule().Outcome)).Int64("version", version).Dur("proof_age", age).
+		Str("outcome", string(er.Rule().Outcome)).Str("endpoint", er.Endpoint).Int64("version", version).Dur("proof_age", age).
 		Dur("took", di.Clock.Since(re.Arrived)).Str("detail", er.Detail).AnErr("cause", er.Err).Msg("dispatch: request refused")
 	return Reply{Refusal: er}
 }
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -37,7 +37,7 @@
 	return &configurationSink{
 		name: gw.Adapter.ConfigurationName, state: &gw.state, log: gw.Log,
 		onChange: gw.relay.Observe, onAnswer: gw.relay.ConfigurationAnswered, onFailure: gw.relay.ConfigurationFailed,
-		onRestored: func() { gw.relaySwitch.AdoptNewest(context.Background()) },
+		onRestored: gw.adoptNewestConfiguration,
 	}
 }
 
@@ -77,3 +77,11 @@
 	sink.CallAnswered(start)
 	return nil
 }
+
+// adoptNewestConfiguration takes a newer configuration from other zones, if there are
+// other instances. It takes a fraction of a second at most.
+func (gw *Gateway) adoptNewestConfiguration() {
+	if gw.Settings.Peers != "" {
+		gw.relaySwitch.AdoptNewest(context.Background())
+	}
+}
--- a/internal/refusal/refusal.go
+++ b/internal/refusal/refusal.go
@@ -129,6 +129,9 @@
 	Detail string
 	// RetryAfter overrides the back-off of the table if it is above zero.
 	RetryAfter time.Duration
+	// Endpoint is the endpoint that the refusal follows from. It may be empty. It is
+	// not sent to the caller.
+	Endpoint string
 	// Dispatched means that an attempt before this refusal may have reached an
 	// endpoint. It changes the outcome not_run to unknown.
 	Dispatched bool
--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -44,7 +44,9 @@
 	Detail   string `json:"detail"`
 	Zone     string `json:"zone"`
 	Events   int    `json:"events"`
-	Message  string `json:"message"`
+	// Rate is a rate limit in requests per second.
+	Rate    float64 `json:"rate"`
+	Message string  `json:"message"`
 	// Raw is the JSON text of the line.
 	Raw string `json:"-"`
 }
@@ -61,6 +63,9 @@
 			parts = append(parts, fi.name+"="+fi.value)
 		}
 	}
+	if li.Rate > 0 {
+		parts = append(parts, fmt.Sprintf("rate=%g", li.Rate))
+	}
 	return strings.Join(parts, " ")
 }
 
@@ -84,9 +89,13 @@
 var contextEvents = map[string]bool{
 	"endpoint_leaves": true, "endpoint_gone": true, "endpoint_held": true, "crash_suspected": true, "dependency_lost": true,
 	"dependency_regained": true, "engine_leaves": true, "reader_left": true, "configuration": true, "evacuations": true, "stopping": true, "stop_cuts": true,
-	"log_dropped": true,
+	"log_dropped": true, "endpoint_limited": true, "endpoint_limit_ended": true, "endpoint_retry_after": true, "endpoint_leaving": true,
 }
 
+// standingEvents are those of contextEvents after which something holds until the
+// next one of the same endpoint. The newest of them is included however old it is.
+var standingEvents = map[string]bool{"endpoint_limited": true, "endpoint_limit_ended": true, "endpoint_leaving": true}
+
 // Read reads logs and returns the trace of a request. It skips lines that are not
 // structured log lines, and any prefix before the first brace of a line.
 func Read(logs io.Reader, request string) (Trace, error) {
@@ -136,13 +145,21 @@
 		endpoints[li.Endpoint], endpoints[li.Target] = true, true
 	}
 	delete(endpoints, "")
+	standing := make(map[string]Line)
 	for _, li := range others {
-		if li.Time < first-lookBack.Milliseconds() || li.Time > last || !instances[li.Instance] {
+		if li.Time > last || !instances[li.Instance] || li.Endpoint != "" && !endpoints[li.Endpoint] {
 			continue
 		}
-		if li.Endpoint == "" || endpoints[li.Endpoint] {
+		if li.Time >= first-lookBack.Milliseconds() {
 			tr.Lines = append(tr.Lines, li)
+			continue
 		}
+		if key := li.Instance + "/" + li.Endpoint; standingEvents[li.Event] && li.Time >= standing[key].Time {
+			standing[key] = li
+		}
+	}
+	for _, li := range standing {
+		tr.Lines = append(tr.Lines, li)
 	}
 }
 
--- a/internal/trace/trace_test.go
+++ b/internal/trace/trace_test.go
@@ -62,3 +62,21 @@
 		}
 	})
 }
+
+const limitLogs = `{"level":"info","instance":"edge-1","event":"endpoint_limited","endpoint":"e1","rate":4,"time":1000}
+{"level":"info","instance":"edge-1","event":"endpoint_limited","endpoint":"e1","rate":2.5,"time":2000}
+{"level":"info","instance":"edge-1","event":"endpoint_limited","endpoint":"e2","rate":9,"time":3000}
+{"level":"info","instance":"edge-2","event":"endpoint_limited","endpoint":"e1","rate":2.5,"time":2001}
+{"level":"info","instance":"edge-1","event":"refused","request":"r9","reason":"rate_limited","outcome":"not_run","endpoint":"e1","detail":"the endpoints limit their requests","time":90000}
+`
+
+// A request that was refused under a rate limit leads to the endpoint that named it,
+// also if that was long before.
+func TestTraceOfRefusalUnderRateLimit(t *testing.T) {
+	g := NewWithT(t)
+	tr, err := Read(strings.NewReader(limitLogs), "r9")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(tr.Lines).To(HaveLen(2))
+	g.Expect(tr.Lines[0].String()).To(HaveSuffix("edge-1 endpoint_limited endpoint=e1 rate=2.5"))
+	g.Expect(tr.Cause()).To(ContainSubstring("rate_limited (not_run)"))
+}
