backpressure: move runs off an engine that asked for a pause; control answers end no limit

An engine that leaves may turn requests away with a pause, and the gate then held back the calls that move its runs, which would be lost. By the users' words a request is a caller's attempt, so these calls are none; reports, which can wait, are still held back. An answer of the control API without a limit ended the one that answers to requests name. A rate that is no number in another instance's call is taken as the lowest.

--- a/internal/backpressure/error.go
+++ b/internal/backpressure/error.go
@@ -26,7 +26,7 @@
 
 // Error is the error type of this package.
 type Error struct {
-	// Op is "request", "control" or "send".
+	// Op is "request", "probe" or "send".
 	Op       string
 	Endpoint string
 	Kind     ErrorKind
--- a/internal/backpressure/gate.go
+++ b/internal/backpressure/gate.go
@@ -33,7 +33,9 @@
 	endpoint roster.Endpoint
 	// validFrom is when the call may be sent, validUntil when the permit expires.
 	validFrom, validUntil time.Duration
-	used                  atomic.Bool
+	// control is set for calls to the control API.
+	control bool
+	used    atomic.Bool
 }
 
 // Gate sends calls to endpoints. Each call needs a permit, for which the endpoint's
@@ -89,15 +91,23 @@
 	return newPermit(en, now+wait), nil
 }
 
-// Control returns a permit for a call to the control API of an endpoint. Such calls
-// do not count toward its rate limit.
-func (ga *Gate) Control(en roster.Endpoint) (*Permit, error) {
+// Probe returns a permit for a call that asks an endpoint for its state. Such calls
+// do not count toward its rate limit. An error is of type *Error.
+func (ga *Gate) Probe(en roster.Endpoint) (*Permit, error) {
 	st, _ := ga.Registry.lookup(en)
-	now := ga.Registry.Boot.Now()
-	if left := st.pausedUntil - now; left > 0 {
-		return nil, &Error{Op: "control", Endpoint: en.ID, Kind: Paused, After: left}
+	if left := st.pausedUntil - ga.Registry.Boot.Now(); left > 0 {
+		return nil, &Error{Op: "probe", Endpoint: en.ID, Kind: Paused, After: left}
 	}
-	return newPermit(en, now), nil
+	return ga.Order(en), nil
+}
+
+// Order returns a permit for a call that moves runs off an endpoint, or frees their
+// copies. It is given in a pause, too: an endpoint that is leaving may turn requests
+// away with a pause, and runs that stay there are lost.
+func (ga *Gate) Order(en roster.Endpoint) *Permit {
+	pe := newPermit(en, ga.Registry.Boot.Now())
+	pe.control = true
+	return pe
 }
 
 func newPermit(en roster.Endpoint, from time.Duration) *Permit {
@@ -125,7 +135,9 @@
 	}
 	// A misdirected call was answered by another endpoint, which now has the address.
 	if an.Status != http.StatusMisdirectedRequest {
-		ga.Registry.Observe(pe.endpoint, ga.Decode(an))
+		sg := ga.Decode(an)
+		sg.Partial = sg.Partial || pe.control
+		ga.Registry.Observe(pe.endpoint, sg)
 	}
 	return an, nil
 }
--- a/internal/backpressure/registry.go
+++ b/internal/backpressure/registry.go
@@ -3,7 +3,6 @@
 import (
 	"maps"
 	"math"
-	"slices"
 	"sync"
 	"time"
 
@@ -140,7 +139,7 @@
 	now := re.Boot.Now()
 	re.update(en, func(st state) state {
 		st.leaving = st.leaving || sg.Leaving
-		if !slices.Contains(sg.Malformed, PartLimit) {
+		if sg.tellsLimit() {
 			st.setLimit(sg.Limit, now)
 		}
 		if sg.RetryAfter > 0 {
--- a/internal/backpressure/signal.go
+++ b/internal/backpressure/signal.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -15,11 +16,20 @@
 	// RetryAfter is the time for which the endpoint wants no requests from this
 	// instance. Zero means that it did not ask for a pause.
 	RetryAfter time.Duration
+	// Partial means that the answer may leave out a limit which is still in force, as
+	// those of the control API may.
+	Partial bool
 	// Malformed lists the parts of the signal that could not be decoded. They
 	// change nothing of what is known.
 	Malformed []Part
 }
 
+// tellsLimit reports whether the signal says which limit is in force, or that there
+// is none.
+func (sg Signal) tellsLimit() bool {
+	return sg.Limit.Named || !sg.Partial && !slices.Contains(sg.Malformed, PartLimit)
+}
+
 // Part is a part of a Signal.
 type Part string
 
--- a/internal/dispatch/limit_test.go
+++ b/internal/dispatch/limit_test.go
@@ -32,7 +32,7 @@
 	return wait, true
 }
 
-// limitAll names a rate limit for endpoints of the harness and returns the limiter.
+// limit names a rate limit for endpoints of the harness and returns the limiter.
 func (ha *harness) limit(waits map[string]time.Duration) *queueLimiter {
 	ql := &queueLimiter{waits: waits, given: make(map[string]int)}
 	ha.Gate.Limiter = ql
--- a/internal/dispatch/standby_test.go
+++ b/internal/dispatch/standby_test.go
@@ -119,6 +119,14 @@
 	g.Expect(found).To(BeFalse(), "a copy is used only once")
 }
 
+// threeEvents streams three events and leaves the stream open.
+func threeEvents(conn net.Conn, re *http.Request) {
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nProof: p\r\nTransfer-Encoding: chunked\r\n\r\n", re.Header.Get("Id"))
+	for ix := 1; ix <= 3; ix++ {
+		chunk(conn, fmt.Sprintf("id: %d\ndata: x\n\n", ix))
+	}
+}
+
 // silent streams three events and then nothing until the connection is closed.
 // If the run is resumed from a copy, it streams the rest.
 func silent(conn net.Conn, re *http.Request) {
@@ -126,10 +134,7 @@
 		events(4, 6, true)(conn, re)
 		return
 	}
-	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nProof: p\r\nTransfer-Encoding: chunked\r\n\r\n", re.Header.Get("Id"))
-	for ix := 1; ix <= 3; ix++ {
-		chunk(conn, fmt.Sprintf("id: %d\ndata: x\n\n", ix))
-	}
+	threeEvents(conn, re)
 	_, _ = conn.Read(make([]byte, 1))
 }
 
@@ -140,10 +145,7 @@
 		events(4, 6, true)(conn, re)
 		return
 	}
-	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nProof: p\r\nTransfer-Encoding: chunked\r\n\r\n", re.Header.Get("Id"))
-	for ix := 1; ix <= 3; ix++ {
-		chunk(conn, fmt.Sprintf("id: %d\ndata: x\n\n", ix))
-	}
+	threeEvents(conn, re)
 	for range 40 {
 		time.Sleep(stallTimeout / 4)
 		if _, err := io.WriteString(conn, "1\r\ni\r\n"); err != nil {
--- a/internal/ratelimit/allocator.go
+++ b/internal/ratelimit/allocator.go
@@ -1,6 +1,7 @@
 package ratelimit
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -76,7 +77,10 @@
 		return TakeReply{Decision: NotAllocator}
 	}
 	now := al.Boot.Now()
-	rate := max(ar.Rate*float64(vi.Alive)/float64(vi.Total), minRate)
+	rate := ar.Rate * float64(vi.Alive) / float64(vi.Total)
+	if math.IsNaN(rate) || rate < minRate {
+		rate = minRate
+	}
 	al.mu.Lock()
 	defer al.mu.Unlock()
 	if al.buckets == nil {
