--- a/internal/gateway/registration.go
+++ b/internal/gateway/registration.go
@@ -95,10 +95,22 @@
 		return err
 	}
 	pause.For(ctx, re.clock, joinDelay)
-	if err := re.list(ctx); err != nil {
+	lost := false
+	listed := re.repeat(ctx, func(ctx context.Context) error {
+		err := re.list(ctx)
+		if lost = errors.Is(err, errNotListed); lost {
+			return nil
+		}
 		return err
+	})
+	switch {
+	case !listed:
+		return ctx.Err()
+	case lost:
+		return errNotListed
+	default:
+		return nil
 	}
-	return ctx.Err()
 }
 
 // list reads the current list of instances.
--- a/internal/gateway/registration_test.go
+++ b/internal/gateway/registration_test.go
@@ -59,11 +59,16 @@
 
 // register runs a registration until the instances are known.
 func register(t *testing.T, fr *fakeRegistry, self loadshare.Member) []loadshare.Member {
+	t.Helper()
+	return registerWith(t, fr, fr, self)
+}
+
+func registerWith(t *testing.T, registry Registry, source feed.Source[loadshare.Member], self loadshare.Member) []loadshare.Member {
 	t.Helper()
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	clock := clockwork.NewFakeClock()
-	re := &registration{registry: fr, source: fr, members: &loadshare.Members{}, self: self, known: make(chan struct{}), clock: clock, log: zerolog.Nop()}
+	re := &registration{registry: registry, source: source, members: &loadshare.Members{}, self: self, known: make(chan struct{}), clock: clock, log: zerolog.Nop()}
 	go func() { _ = re.Run(ctx) }()
 	for {
 		select {
--- a/internal/gateway/restore_test.go
+++ b/internal/gateway/restore_test.go
@@ -1,8 +1,9 @@
 package gateway
 
 import (
+	"context"
+	"errors"
 	"testing"
-	"time"
 
 	"github.com/jonboulle/clockwork"
 	. "github.com/onsi/gomega"
@@ -60,18 +61,7 @@
 	g := NewWithT(t)
 	self := loadshare.Member{Name: "self", Zone: "a"}
 	fr := &forgetfulRegistry{forget: 1}
-	clock := clockwork.NewFakeClock()
-	re := &registration{registry: fr, source: fr, members: &loadshare.Members{}, self: self, known: make(chan struct{}), clock: clock, log: zerolog.Nop()}
-	go func() { _ = re.Run(t.Context()) }()
-	g.Eventually(func() bool {
-		clock.Advance(100 * time.Millisecond)
-		select {
-		case <-re.known:
-			return true
-		default:
-			return false
-		}
-	}, "5s", "1ms").Should(BeTrue())
+	g.Expect(registerWith(t, fr, fr, self)).To(ConsistOf(self))
 	g.Expect(fr.registered).To(Equal(2))
 }
 
@@ -91,3 +81,29 @@
 	}
 	return err
 }
+
+// A list that fails is asked for again. The instance does not register anew for that.
+func TestListIsRepeatedWhileJoining(t *testing.T) {
+	g := NewWithT(t)
+	self := loadshare.Member{Name: "self", Zone: "a"}
+	fr := &failingLists{fail: 4}
+	g.Expect(registerWith(t, fr, fr, self)).To(ConsistOf(self))
+	g.Expect(fr.registered).To(Equal(1))
+}
+
+// failingLists fails the first lists.
+type failingLists struct {
+	fakeRegistry
+	fail int
+}
+
+func (fl *failingLists) List(ctx context.Context) ([]feed.Object[loadshare.Member], feed.Position, error) {
+	fl.mu.Lock()
+	failing := fl.fail > 0
+	fl.fail--
+	fl.mu.Unlock()
+	if failing {
+		return nil, feed.Position{}, errors.New("the store is slow")
+	}
+	return fl.fakeRegistry.List(ctx)
+}
