peer: don't decode a late answer into the value of a call that was given up

Traced: net/rpc goes on decoding an answer after the call's time has passed, into the reply that its caller then reads (relay reads the status of readers that did not answer in time). An old fault, rare: a caller could act on half of an answer that came too late. A reply is changed only by a call that succeeds now.

--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -21,6 +21,7 @@
 	"fmt"
 	"net"
 	"net/rpc"
+	"reflect"
 	"sync"
 	"time"
 )
@@ -85,7 +86,8 @@
 	conns map[string]*rpc.Client
 }
 
-// Call implements Caller.
+// Call implements Caller. It changes reply, which must be a pointer, only if it
+// succeeds.
 func (cl *Client) Call(ctx context.Context, address, method string, args, reply any) error {
 	ctx, cancel := context.WithTimeout(ctx, CallTimeout)
 	defer cancel()
@@ -93,9 +95,15 @@
 	if err != nil {
 		return &Error{Op: method, Peer: address, Kind: Unreachable, Err: err}
 	}
-	done := rc.Go(method, args, reply, make(chan *rpc.Call, 1)).Done
+	// net/rpc may still decode an answer after the call was given up, so that it must
+	// not decode into the caller's value.
+	decoded := reflect.New(reflect.TypeOf(reply).Elem())
+	done := rc.Go(method, args, decoded.Interface(), make(chan *rpc.Call, 1)).Done
 	select {
 	case ca := <-done:
+		if ca.Error == nil {
+			reflect.ValueOf(reply).Elem().Set(decoded.Elem())
+		}
 		return cl.handleResult(address, method, rc, ca.Error)
 	case <-ctx.Done():
 		cl.drop(address, rc)
