writetimeout: test a caller whose parts each arrive within the timeout

Traced: the test read a part in 120 ms, slower than its own timeout of 100 ms; a part that began just before the deadline was renewed (once a second) had 100 ms left. The guarantee is one timeout for each part.

--- a/internal/writetimeout/writetimeout_test.go
+++ b/internal/writetimeout/writetimeout_test.go
@@ -27,7 +27,7 @@
 // A caller that reads slowly but steadily was cut off in a large answer, which was
 // one write. One that does not read at all is still cut off.
 func TestSlowCallers(t *testing.T) {
-	const size = 1 << 20
+	const size = 4 << 20
 	for _, ca := range []struct {
 		name  string
 		reads int
@@ -40,8 +40,8 @@
 			g := NewWithT(t)
 			server, client := net.Pipe()
 			defer func() { _ = client.Close() }()
-			co := &Conn{Conn: server, timeout: 100 * time.Millisecond}
-			go steadyReader(client, ca.reads, 64<<10, 120*time.Millisecond)
+			co := &Conn{Conn: server, timeout: 500 * time.Millisecond}
+			go steadyReader(client, ca.reads, 64<<10, 60*time.Millisecond)
 			begun := time.Now()
 			written, err := co.Write(make([]byte, size))
 			g.Expect(err == nil).To(Equal(ca.whole))
