readahead: read streams ahead of callers that read slowly

Cause: where the platform's rules let callers read slowly, an endpoint cuts off a connection that stays unread for some seconds. The session was read only as fast as the caller read, so a slow caller's stream was lost at its endpoint.

Closing a stream cancels its request first, so that a blocked read ends.

With it: ingress.TestStopUnderLoad counted the requests that ran within 200 ms of wall time and failed once on a busy machine (47 of over 100). It now waits until over 100 have run before the shutdown is announced: the same counts, as strict.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -30,6 +30,7 @@
 	"filbertstall.example/filbertstall/internal/placement"
 	"filbertstall.example/filbertstall/internal/ratelimit"
 	"filbertstall.example/filbertstall/internal/reachability"
+	"filbertstall.example/filbertstall/internal/readahead"
 	"filbertstall.example/filbertstall/internal/relay"
 	"filbertstall.example/filbertstall/internal/roster"
 	"filbertstall.example/filbertstall/internal/routing"
@@ -207,6 +208,9 @@
 		Runs: mover, Suspects: gw.suspects, Turns: turns{limiter: &gw.suspectLimiter}, Reachable: gw.pool.Reachable, Progress: engines.Progress, Paths: &gw.paths, Meter: &dispatch.Meter{Scope: gw.metrics.Scope},
 	}
 	gw.ingress = ingress.Server{Listener: li.callers, Codec: gw.Adapter.Codec, Dispatcher: di, Hangups: hangups, Clock: gw.Clock, Log: gw.Log}
+	if se.SlowCallers {
+		gw.ingress.ReadAhead = &readahead.Budget{Bytes: readahead.DefaultBytes}
+	}
 	gw.ingress.Prepare()
 	gw.ready = &readiness{state: &gw.state, roster: &gw.roster, maxAges: gw.maxAges, log: gw.Log}
 	controllers := []controller.Controller{
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -43,6 +43,9 @@
 	RetryRatio  float64
 	RetryWindow time.Duration
 	RetryExtra  float64
+	// SlowCallers is set if callers may read streams more slowly than endpoints send
+	// them. Streams are then read ahead (package readahead).
+	SlowCallers bool
 }
 
 // needsRestart reports whether settings differ that Gateway.Reload does not apply.
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -17,6 +17,7 @@
 
 	"filbertstall.example/filbertstall/internal/dispatch"
 	"filbertstall.example/filbertstall/internal/hangup"
+	"filbertstall.example/filbertstall/internal/readahead"
 	"filbertstall.example/filbertstall/internal/refusal"
 	"filbertstall.example/filbertstall/internal/upstream"
 	"filbertstall.example/filbertstall/internal/writetimeout"
@@ -58,6 +59,9 @@
 	// MaxInFlight limits the requests that are served at the same time. Zero means that
 	// there is no limit.
 	MaxInFlight int64
+	// ReadAhead is the memory for streams that arrive faster than their callers read
+	// them. If it is nil, streams are read as fast as their callers read.
+	ReadAhead *readahead.Budget
 
 	server    fasthttp.Server
 	stopping  atomic.Bool
@@ -168,7 +172,7 @@
 		se.refuse(ctx, re, rp.Refusal)
 	case rp.Events != nil:
 		se.writeHead(ctx, rp)
-		ctx.Response.SetBodyStream(&eventBody{Reply: rp, release: release, log: se.Log}, -1)
+		ctx.Response.SetBodyStream(se.eventBody(rp, release), -1)
 		return
 	default:
 		se.writeHead(ctx, rp)
@@ -243,6 +247,14 @@
 	return pause
 }
 
+// eventBody returns the response body of a stream. It is closed with release.
+func (se *Server) eventBody(rp dispatch.Reply, release func()) *eventBody {
+	if se.ReadAhead != nil {
+		rp.Events = readahead.NewReader(rp.Events, se.ReadAhead)
+	}
+	return &eventBody{Reply: rp, release: release, log: se.Log}
+}
+
 // eventBody is the response body of a stream.
 type eventBody struct {
 	dispatch.Reply
@@ -262,13 +274,13 @@
 	return eb.Events.Read(into)
 }
 
-// Close implements io.Closer. The HTTP library calls it after the last read.
+// Close implements io.Closer. The HTTP library calls it after the last read. The request
+// is canceled first, so that no read of the stream blocks.
 func (eb *eventBody) Close() error {
 	if eb.closed {
 		return nil
 	}
 	eb.closed = true
-	err := eb.Events.Close()
 	eb.release()
-	return err
+	return eb.Events.Close()
 }
--- a/internal/ingress/server_test.go
+++ b/internal/ingress/server_test.go
@@ -25,6 +25,7 @@
 	"filbertstall.example/filbertstall/internal/feed"
 	"filbertstall.example/filbertstall/internal/hangup"
 	"filbertstall.example/filbertstall/internal/placement"
+	"filbertstall.example/filbertstall/internal/readahead"
 	"filbertstall.example/filbertstall/internal/refusal"
 	"filbertstall.example/filbertstall/internal/roster"
 	"filbertstall.example/filbertstall/internal/routing"
@@ -129,6 +130,9 @@
 	return se, "http://" + ln.Addr().String()
 }
 
+// readsAhead lets a server read streams ahead.
+func readsAhead(se *Server) { se.ReadAhead = &readahead.Budget{Bytes: readahead.DefaultBytes} }
+
 func answer(conn net.Conn, id string) {
 	_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: "+id+"\r\nServer-Only: x\r\nContent-Length: 4\r\n\r\nbody")
 }
@@ -227,20 +231,30 @@
 // look complete to the caller.
 func TestBrokenStreamEndsWithoutItsEnd(t *testing.T) {
 	g := NewWithT(t)
-	_, url := start(t, endpoint(t, func(conn net.Conn, id string) {
+	address := endpoint(t, func(conn net.Conn, id string) {
 		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: "+id+"\r\nTransfer-Encoding: chunked\r\n\r\n10\r\nid: 1\ndata: ab\n\n\r\n")
-	}))
-	_, body, err := get(t, url+"/stream/x")
-	g.Expect(errors.Is(err, io.ErrUnexpectedEOF)).To(BeTrue(), "%v", err)
-	g.Expect(body).To(Equal("id: 1\ndata: ab\n\n"))
+	})
+	for _, option := range []func(*Server){func(*Server) {}, readsAhead} {
+		_, url := start(t, address, option)
+		_, body, err := get(t, url+"/stream/x")
+		g.Expect(errors.Is(err, io.ErrUnexpectedEOF)).To(BeTrue(), "%v", err)
+		g.Expect(body).To(Equal("id: 1\ndata: ab\n\n"))
+	}
 }
 
 // The request at the endpoint is canceled when the caller closes its connection,
 // before the answer as well as in the middle of a stream.
 func TestCallerThatLeaves(t *testing.T) {
-	for _, path := range []string{"/x", "/stream/x"} {
-		t.Run(path, func(t *testing.T) {
-			g := NewWithT(t)
+	for _, ca := range []struct {
+		name, path string
+		option     func(*Server)
+	}{
+		{"plain", "/x", func(*Server) {}},
+		{"stream", "/stream/x", func(*Server) {}},
+		{"stream that is read ahead", "/stream/x", readsAhead},
+	} {
+		t.Run(ca.name, func(t *testing.T) {
+			g, path := NewWithT(t), ca.path
 			began, ended := make(chan struct{}), make(chan struct{})
 			se, url := start(t, endpoint(t, func(conn net.Conn, id string) {
 				if path != "/x" {
@@ -249,7 +263,7 @@
 				close(began)
 				_, _ = conn.Read(make([]byte, 1))
 				close(ended)
-			}))
+			}), ca.option)
 			conn, err := net.Dial("tcp4", strings.TrimPrefix(url, "http://"))
 			g.Expect(err).NotTo(HaveOccurred())
 			_, err = io.WriteString(conn, "POST "+path+" HTTP/1.1\r\nHost: h\r\nId: 7\r\nContent-Length: 0\r\n\r\n")
@@ -258,6 +272,9 @@
 			g.Expect(conn.Close()).To(Succeed())
 			g.Eventually(ended, "5s").Should(BeClosed())
 			g.Eventually(se.InFlight, "5s").Should(BeZero())
+			if se.ReadAhead != nil {
+				g.Eventually(se.ReadAhead.Used, "5s").Should(BeZero())
+			}
 		})
 	}
 }
@@ -379,7 +396,12 @@
 			}
 		}()
 	}
-	time.Sleep(200 * time.Millisecond)
+	count := func() int {
+		mu.Lock()
+		defer mu.Unlock()
+		return len(ran)
+	}
+	g.Eventually(count, "30s", "5ms").Should(BeNumerically(">", 100))
 	se.AnnounceShutdown()
 	time.Sleep(50 * time.Millisecond)
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
