--- /dev/null
+++ b/internal/rollout/state.go
@@ -0,0 +1,31 @@
+package rollout
+
+// State is how far an order has come. The store knows Promoting as a stage of running.
+type State int
+
+const (
+	// Pending is the state of an order for which nobody has written a status yet.
+	Pending State = iota
+	// Canary: a share of the requests goes to the target.
+	Canary
+	// Promoting: the target was found good; all requests go to it and the runs at old
+	// endpoints are moved.
+	Promoting
+	// Completed: the old endpoints stop at once.
+	Completed
+	// RolledBack: the target gets no request.
+	RolledBack
+)
+
+var stateNames = [...]string{"pending", "canary", "promoting", "completed", "rolled_back"}
+
+// String returns the state's name in logs.
+func (st State) String() string {
+	if st < 0 || int(st) >= len(stateNames) {
+		return "unknown"
+	}
+	return stateNames[st]
+}
+
+// Final reports whether the state is never left.
+func (st State) Final() bool { return st == Completed || st == RolledBack }
