--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"filbertstall.example/filbertstall/internal/loadshare"
+	"filbertstall.example/filbertstall/internal/rollout"
 )
 
 // Settings are the values that an instance needs before it can reach the store.
@@ -43,6 +44,8 @@
 	RetryRatio  float64
 	RetryWindow time.Duration
 	RetryExtra  float64
+	// Rollout has the rules of roll-outs. A zero Share means that operators order none.
+	Rollout rollout.Bounds
 }
 
 // needsRestart reports whether settings differ that Gateway.Reload does not apply.
--- a/internal/relay/follow.go
+++ b/internal/relay/follow.go
@@ -191,6 +191,10 @@
 	sw.apply(up)
 	// The candidate answered no earlier than this.
 	answered := begun + up.Held
+	if up.HasOrders {
+		sw.Log.Orders.Put(up.Orders)
+		sw.Log.Orders.Confirm(answered - up.OrdersAge)
+	}
 	sw.Log.CallAnswered(answered - up.EndpointsAge)
 	sw.Log.setRole(role{hops: up.Hops + 1, reader: cmp.Or(up.Reader, me.Name)})
 	return up, sw.confirm(ctx, me, up, answered)
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -9,6 +9,7 @@
 	"filbertstall.example/filbertstall/internal/boottime"
 	"filbertstall.example/filbertstall/internal/feed"
 	"filbertstall.example/filbertstall/internal/loadshare"
+	"filbertstall.example/filbertstall/internal/rollout"
 	"filbertstall.example/filbertstall/internal/roster"
 	"filbertstall.example/filbertstall/internal/routing"
 )
@@ -61,6 +62,12 @@
 	Era int64
 	// Held is how long the sender held the call open.
 	Held time.Duration
+	// HasOrders is set if Orders are all roll-outs that operators have ordered, and
+	// OrdersAge is how long ago the store confirmed them. Instances of earlier versions
+	// don't send them.
+	HasOrders bool
+	Orders    []rollout.Order
+	OrdersAge time.Duration
 }
 
 // status returns the status of the sender.
@@ -84,6 +91,8 @@
 	Epoch int64
 	// Eras may be nil.
 	Eras *feed.Eras
+	// Orders are the roll-outs. It is nil if operators order none.
+	Orders *Orders
 
 	mu        sync.Mutex
 	endpoints history[roster.Endpoint]
@@ -91,7 +100,9 @@
 	zones     []string
 	version   int64
 	silent    bool
-	wake      chan struct{}
+	// orders is the number of the newest change of Orders.
+	orders uint64
+	wake   chan struct{}
 	role      role
 	// storeSilent is set while the reader that this instance follows gets no
 	// answers from the store.
@@ -125,14 +136,14 @@
 	if cf := lo.State.Load(); cf != nil {
 		version = cf.Version
 	}
-	silent := lo.StoreUnresponsive()
+	silent, orders := lo.StoreUnresponsive(), lo.Orders.changes()
 	lo.mu.Lock()
 	defer lo.mu.Unlock()
 	endpointsBefore, membersBefore := lo.endpoints.sequence, lo.members.sequence
 	lo.endpoints.observe(vi.All())
 	lo.members.observe(lo.membersByName())
-	if zones := vi.Evacuated(); version != lo.version || silent != lo.silent || !slices.Equal(zones, lo.zones) {
-		lo.zones, lo.version, lo.silent = zones, version, silent
+	if zones := vi.Evacuated(); version != lo.version || silent != lo.silent || orders != lo.orders || !slices.Equal(zones, lo.zones) {
+		lo.zones, lo.version, lo.silent, lo.orders = zones, version, silent, orders
 		lo.endpoints.append("")
 	}
 	if lo.endpoints.sequence != endpointsBefore || lo.members.sequence != membersBefore {
@@ -291,6 +302,7 @@
 	if era, known := lo.Eras.Newest(); known {
 		up.Era = era + 1
 	}
+	up.Orders, up.OrdersAge, up.HasOrders = lo.Orders.current()
 	known := false
 	if qu.Epoch == lo.Epoch {
 		up.Endpoints, up.Removed, known = lo.endpoints.since(qu.Sequence)
