rollout: reports by endpoint of the target; Leaves for moves

Cause: one failing endpoint of a good version must not count as a bad version, so reports tell the endpoints of the target apart; old ones are summed. Ruled out: totals by version only. The mover needs to know which endpoints to empty while an order is promoted.

--- a/internal/rollout/registry.go
+++ b/internal/rollout/registry.go
@@ -33,11 +33,18 @@
 func (re *Registry) Endpoints(all map[string]roster.Endpoint) {}
 
 // Filter returns the endpoints among ready to which a request may go. ready holds
-// endpoints of one service. The result must not be changed.
+// endpoints of one service. The result must not be changed. request is the request's ID;
+// it is empty for a repeated attempt, which never goes to a version on trial if there
+// is another.
 func (re *Registry) Filter(service, request string, ready []roster.Endpoint) []roster.Endpoint {
 	return ready
 }
 
+// Leaves reports whether the runs at an endpoint should move to endpoints that Allows
+// accepts: off old endpoints while an order is promoted, off the target once it is
+// rolled back.
+func (re *Registry) Leaves(en roster.Endpoint) bool { return false }
+
 // Allows reports whether a run may go on at this endpoint now, or a standby copy be
 // kept there.
 func (re *Registry) Allows(en roster.Endpoint) bool { return true }
@@ -55,7 +62,8 @@
 // Merge replaces what another instance has reported.
 func (re *Registry) Merge(instance string, list []Report) {}
 
-// Next returns a status that should be written now. evaluator reports whether this
+// Next evaluates all orders and returns a status that should be written now. It must be
+// called several times a second on each instance. evaluator reports whether this
 // instance is the one that evaluates a service. pending returns how many runs and
 // requests are still at endpoints of other versions than the target, in the fleet.
 func (re *Registry) Next(evaluator func(service string) bool, pending func(service, target string) int) (Transition, bool) {
--- a/internal/rollout/report.go
+++ b/internal/rollout/report.go
@@ -3,32 +3,50 @@
 import "time"
 
 // Report is what one instance knows of one order. The totals are cumulative, so that a
-// later report replaces an earlier one. Its fields are plain: it travels in datagrams.
+// lost report does no harm: the next one replaces it. Its fields are plain, since it
+// travels between instances.
 type Report struct {
 	Service, Target string
-	// Age is the order's age by this instance.
+	// Boot identifies the process of the instance. Sequence rises with each change.
+	Boot, Sequence uint64
+	// Age is a lower bound of the order's age when the report was made.
 	Age time.Duration
-	// Verdict is what this instance has found. RolledBack stops the target everywhere.
+	// Verdict is RolledBack once an evaluator has found the target bad; it stops the
+	// target everywhere. Else it is Pending.
 	Verdict State
-	// Sent are the requests sent to old endpoints and to those of the target.
+	// Share is the share of the requests that go to the target, as an evaluator sets
+	// it. It counts only if Evaluator is set.
+	Evaluator bool
+	Share     float64
+	// SentOld and SentNew are the requests sent to endpoints of other versions and to
+	// those of the target.
 	SentOld, SentNew uint32
-	// Share is the share that the evaluator sets; zero in reports of others.
-	Share float64
-	Rows  []Row
+	// Rows has at most maxRows rows.
+	Rows []Row
 }
 
-// Row has the totals of one route.
+// Row has the totals of one route: of one endpoint of the target, or of all endpoints
+// of other versions together, for which Endpoint is empty.
 type Row struct {
-	Route    string
-	Old, New Totals
+	Route, Endpoint string
+	Totals          Totals
 }
 
-// Totals counts the answers of one version on one route.
+// Totals counts finished answers.
 type Totals struct {
 	Answers, Failures uint32
-	// Latency counts the answers by the upper bound of their latency, see latencyBounds.
+	// Latency counts the successful answers of endpoints that were not cold, by their
+	// latency: the upper bound of the first bucket is 4 ms, that of each other one half
+	// as much again as the one before.
 	Latency [LatencyBuckets]uint32
 }
 
 // LatencyBuckets is the number of buckets of a latency histogram.
-const LatencyBuckets = 16
+const LatencyBuckets = 24
+
+// maxRows limits the rows of a report. Answers of further endpoints are counted
+// together, for otherEndpoints.
+const maxRows = 64
+
+// otherEndpoints stands for the endpoints of the target that have no row of their own.
+const otherEndpoints = "*"
