dispatch, migration: roll-outs choose versions, and runs move off engines that stay

Attempts, repeated attempts, resumed streams and standby copies ask Rollouts; each sending and each finished answer is told to it. A loss counts against a version unless the endpoint leaves or its link is lost. Mover.Vacate moves runs off an engine that does not leave yet: also those with a standby copy, never to a cold engine, without hurry; if the engine leaves meanwhile, the hurry begins then. An endpoint that became unusable while a request waited gives its slot back at once.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -64,6 +64,8 @@
 	answer  *upstream.Answer
 	verdict Verdict
 	ticket  *placement.Ticket
+	// sentAt is when the request was sent.
+	sentAt  time.Time
 	body    []byte
 	refusal *refusal.Error
 }
@@ -88,9 +90,11 @@
 	}
 	ti := di.Tracker.Begin(en, de.demand)
 	ti.OnEnd(de.permit.Release)
+	di.recordSent(en)
+	sentAt := di.Clock.Now()
 	an, err := di.Gate.Do(ctx, de.permit, di.Codec.Call(ta.Request, at))
 	if err != nil {
-		return di.handleSendError(ctx, ta, en, ti, err)
+		return di.handleSendError(ctx, ta, en, ti, sentAt, err)
 	}
 	if di.Paths != nil {
 		di.Paths.Reached(ta.service.Name, en.ID)
@@ -104,9 +108,9 @@
 		an.Close()
 		return di.handleLost(ta, en, errNotGenuine)
 	case an.Status >= 500 && ta.route.RetryClass == routing.Idempotent:
-		return di.handleServerError(ta, en, ti, an, ve)
+		return di.handleServerError(ta, en, ti, an, ve, sentAt)
 	}
-	return result{step: deliver, answer: an, verdict: ve, ticket: ti}
+	return result{step: deliver, answer: an, verdict: ve, ticket: ti, sentAt: sentAt}
 }
 
 // handleEndedBeforeSend handles a request whose caller left or whose time passed
@@ -123,7 +127,7 @@
 var errNotGenuine = errors.New("dispatch: the answer lacks the endpoint's signature or has an unexpected form")
 
 // handleSendError handles a call that returned no answer.
-func (di *Dispatcher) handleSendError(ctx context.Context, ta *task, en roster.Endpoint, ti *placement.Ticket, err error) result {
+func (di *Dispatcher) handleSendError(ctx context.Context, ta *task, en roster.Endpoint, ti *placement.Ticket, sentAt time.Time, err error) result {
 	if backpressure.IsRefused(err) {
 		ti.End(placement.Done)
 		return di.handleRefusedPermit(ta, en, err)
@@ -139,6 +143,7 @@
 		return result{step: giveUp, refusal: di.unreachableRefusal(ta, err)}
 	case upstream.Canceled:
 		ti.End(placement.Abandoned)
+		di.recordTimeout(ctx, ta, en, sentAt)
 		ta.ran++
 		return result{step: giveUp, refusal: di.endedRefusal(ctx, ta, err)}
 	case upstream.Lost, upstream.Mismatched:
@@ -186,12 +191,13 @@
 // handleServerError handles an endpoint's server error for an idempotent
 // request. The request is sent again if a retry is allowed. Otherwise, the
 // answer is delivered.
-func (di *Dispatcher) handleServerError(ta *task, en roster.Endpoint, ti *placement.Ticket, an *upstream.Answer, ve Verdict) result {
+func (di *Dispatcher) handleServerError(ta *task, en roster.Endpoint, ti *placement.Ticket, an *upstream.Answer, ve Verdict, sentAt time.Time) result {
 	ta.ran++
 	ta.arrivals++
 	if !di.mayRetry(ta) {
-		return result{step: deliver, answer: an, verdict: ve, ticket: ti}
+		return result{step: deliver, answer: an, verdict: ve, ticket: ti, sentAt: sentAt}
 	}
+	di.recordAnswer(ta, en, sentAt, true)
 	di.logFailedAttempt(ta, en, "failed_there", nil)
 	ti.End(placement.Failed)
 	_, _ = an.ReadAll(maxDiscardedBytes)
@@ -212,10 +218,15 @@
 	return er
 }
 
+// isTimeout reports whether a request's context ended because its time passed.
+func isTimeout(ctx context.Context) bool {
+	return errors.Is(context.Cause(ctx), context.DeadlineExceeded)
+}
+
 // endedRefusal returns the refusal of a request whose context ended: CallerGone
 // if the caller disconnected, or TimedOut if the deadline passed.
 func (di *Dispatcher) endedRefusal(ctx context.Context, ta *task, err error) *refusal.Error {
-	if context.Cause(ctx) != nil && !errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
+	if context.Cause(ctx) != nil && !isTimeout(ctx) {
 		return refusal.Wrap(refusal.CallerGone, "the caller left", err).WithDispatched()
 	}
 	return refusal.Wrap(refusal.TimedOut, "no answer within "+requestTimeout(ta.route.Timeout, ta.CallerTimeout).String(), err)
@@ -224,7 +235,7 @@
 // logFailedAttempt logs and counts an attempt whose answer is not delivered.
 func (di *Dispatcher) logFailedAttempt(ta *task, en roster.Endpoint, outcome string, err error) {
 	di.Meter.countAttempt(outcome)
-	di.Log.Info().Str("event", "attempt_failed").Str("request", ta.ID).Str("endpoint", en.ID).Str("how", outcome).
+	di.Log.Info().Str("event", "attempt_failed").Str("request", ta.ID).Str("endpoint", en.ID).Str("version", en.Version).Str("how", outcome).
 		Str("repeat", ta.route.RetryClass.String()).Int("ran", ta.ran).Int("arrivals", ta.arrivals).
 		Dur("left", ta.remaining(di.Clock.Now())).AnErr("cause", err).Msg("dispatch: attempt failed")
 }
--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -91,12 +91,14 @@
 			ou = placement.Failed
 		}
 		re.ticket.End(ou)
+		di.recordAnswer(ta, en, re.sentAt, ou == placement.Failed)
 		re.body = body
 		di.clearSuspicion(ta, en)
 		return re
 	}
 	if ctx.Err() != nil {
 		re.ticket.End(placement.Done)
+		di.recordTimeout(ctx, ta, en, re.sentAt)
 		return result{step: giveUp, refusal: di.endedRefusal(ctx, ta, err)}
 	}
 	re.ticket.End(placement.Lost)
--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -39,19 +39,25 @@
 // takes the request. If all of them are at their limits, the task waits for one, if
 // there is time.
 func (di *Dispatcher) chooseEndpoint(ctx context.Context, ta *task, dm placement.Demand) (destination, *refusal.Error) {
-	ready, er := di.withoutCrashing(ta, di.Roster.View().Ready(ta.service.Name))
+	usable, er := di.withoutCrashing(ta, di.Roster.View().Ready(ta.service.Name))
 	if er != nil {
 		return destination{}, er
 	}
+	ready := di.permitted(ta, usable)
 	if len(ready) > 0 {
 		if er := di.awaitTurn(ctx, ta, ready[0].Version, ta.maxWait(di.Clock.Now())); er != nil {
 			return destination{}, er
 		}
+		ready = di.permitted(ta, usable)
 	}
 	exclude := di.withUnreachable(ta)
 	for {
 		ch, found := di.Tracker.Choose(ready, dm, exclude)
 		if !found {
+			if others, differ := di.leaveTrial(ta, ready, usable); differ {
+				ready = others
+				continue
+			}
 			return di.awaitEndpoint(ctx, ta, dm, ready)
 		}
 		pe, err := di.Gate.Request(ctx, ch.Endpoint, di.terms(ta, ch.Endpoint, 0))
@@ -121,7 +127,8 @@
 			after = laterOf(err, after)
 			continue
 		}
-		if _, usable := di.Roster.View().Usable(ca.endpoint.ID); !usable {
+		if _, usable := di.Roster.View().Usable(ca.endpoint.ID); !usable || !di.isPermitted(ta, ca.endpoint) {
+			pe.Release()
 			continue
 		}
 		return destination{endpoint: ca.endpoint, demand: dm, permit: pe}, nil
--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -22,10 +22,10 @@
 )
 
 // reportCrash finds out in the background whether an endpoint that lost a request has
-// crashed, and holds that against the features of the request.
+// crashed, and holds that against the features of the request and against its version.
 func (di *Dispatcher) reportCrash(ta *task, en roster.Endpoint, features ...suspicion.Feature) {
-	if di.Suspects != nil && di.Reachable != nil {
-		go di.detectCrash(ta, en, features)
+	if di.Reachable != nil && (di.Suspects != nil || di.Rollouts != nil) {
+		go func() { di.recordLoss(ta, en, di.detectCrash(ta, en, features)) }()
 	}
 }
 
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -50,6 +50,8 @@
 	// requests if there are none. If they are nil, all requests are served here.
 	Paths     Paths
 	Forwarder Forwarder
+	// Rollouts decides which versions requests may use. If it is nil, all are used.
+	Rollouts Rollouts
 	// Meter records metrics. If nil, none are recorded.
 	Meter *Meter
 
@@ -96,6 +98,8 @@
 	// it is better forwarded than sent to another endpoint.
 	forwards     map[string]bool
 	pathDoubtful bool
+	// noTrial is set once the task must not go to a version on trial.
+	noTrial bool
 	// fingerprint identifies the request across resubmissions by the caller. It
 	// is zero if Dispatcher.Suspects is nil. See computeFingerprint.
 	fingerprint uint64
@@ -228,7 +232,7 @@
 	if ta.service.Engine == nil {
 		return
 	}
-	di.Log.Info().Str("event", "placed").Str("request", ta.ID).Str("endpoint", ch.Endpoint.ID).Str("zone", ch.Endpoint.Zone).
+	di.Log.Info().Str("event", "placed").Str("request", ta.ID).Str("endpoint", ch.Endpoint.ID).Str("zone", ch.Endpoint.Zone).Str("version", ch.Endpoint.Version).
 		Float64("cost_ms", ch.Cost).Int("running", ch.Load.Running).Int("reading", ch.Load.PrefillTokens).Int("held", ch.Load.ReservedTokens).
 		Int("ready", ready).Int("prompt", ta.Prompt.Tokens).Msg("dispatch: engine chosen")
 }
--- a/internal/dispatch/standby.go
+++ b/internal/dispatch/standby.go
@@ -25,7 +25,7 @@
 	if dm.Engine == nil || !dm.Engine.KeepsStandbyCopies || dm.Output < minStandbyTokens {
 		return nil
 	}
-	en, found := di.Tracker.ChooseStandby(di.Roster.View().Ready(ta.service.Name), dm, primary.ID)
+	en, found := di.Tracker.ChooseStandby(di.allows(di.Roster.View().Ready(ta.service.Name)), dm, primary.ID)
 	if !found {
 		return nil
 	}
@@ -59,8 +59,8 @@
 
 // takeOver lets an interrupted run continue on the engine of its standby copy.
 // It returns false if there is no copy, or if the engine of the copy has
-// restarted, has been removed, is leaving, or is in a zone that operators have
-// evacuated. The copy cannot be used again.
+// restarted, has been removed, is leaving, is in a zone that operators have
+// evacuated, or has a version that gets no runs. The copy cannot be used again.
 func (se *session) takeOver() (migration.Moved, bool) {
 	sb := se.standby
 	se.standby = nil
@@ -69,7 +69,7 @@
 	}
 	sb.release()
 	en, usable := se.di.Roster.View().Usable(sb.endpoint.ID)
-	if !usable || en.Started != sb.endpoint.Started {
+	if !usable || en.Started != sb.endpoint.Started || len(se.di.allows([]roster.Endpoint{en})) == 0 {
 		return migration.Moved{}, false
 	}
 	ti := se.di.Tracker.Begin(en, se.demand)
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -25,6 +25,10 @@
 	MoveOne(context.Context, *migration.Run) bool
 }
 
+// errVersionStopped means that the engine to which a run was moved has a version that
+// gets no runs any more.
+var errVersionStopped = errors.New("dispatch: the version of the run's engine gets no runs any more")
+
 // errStreamBroken is the read error of an incomplete stream.
 var errStreamBroken = errors.New("dispatch: stream interrupted and cannot be resumed")
 
@@ -89,8 +93,8 @@
 	endErr    error
 	// lastEventAt is when the last complete event was received.
 	lastEventAt time.Time
-	// beganAt is when the head of the answer arrived.
-	beganAt time.Time
+	// sentAt is when the request was sent, beganAt when the head of the answer arrived.
+	sentAt, beganAt time.Time
 	// proven is set once the run has gone on for long enough to show that the parts of
 	// its prompt are harmless.
 	proven bool
@@ -105,7 +109,7 @@
 	en := de.endpoint
 	re.ticket.Started()
 	di.Log.Info().Str("event", "first_event").Str("request", ta.ID).Str("endpoint", en.ID).Dur("took", di.Clock.Since(ta.Arrived)).Msg("dispatch: stream started")
-	se := &session{di: di, ta: ta, ctx: ctx, cancel: cancel, destination: de, answer: re.answer, ticket: re.ticket, beganAt: di.Clock.Now()}
+	se := &session{di: di, ta: ta, ctx: ctx, cancel: cancel, destination: de, answer: re.answer, ticket: re.ticket, sentAt: re.sentAt, beganAt: di.Clock.Now()}
 	if ta.service.Engine != nil && ta.service.Engine.Migrates && di.Runs != nil {
 		se.run = &migration.Run{
 			ID: ta.ID, Service: ta.service.Name, Engine: ta.service.Engine,
@@ -150,6 +154,9 @@
 	se.pending = append(se.pending, buffer[:count]...)
 	before := se.events
 	se.scanEvents()
+	if before == 0 && se.events > 0 {
+		se.di.recordAnswer(se.ta, se.endpoint, se.sentAt, false)
+	}
 	if se.events > before {
 		se.stall.eventArrived()
 		se.checkProven()
@@ -258,6 +265,7 @@
 		se.fail(cause)
 		return
 	}
+	mv = se.withSourceIfStopped(mv)
 	se.moves++
 	se.ticket.End(placement.Done)
 	if err := se.resume(mv); err != nil {
@@ -290,6 +298,9 @@
 // resume continues the run on the target of its move or takeover.
 func (se *session) resume(mv migration.Moved) error {
 	di := se.di
+	if len(di.allows([]roster.Endpoint{mv.Target})) == 0 {
+		return errVersionStopped
+	}
 	te := di.terms(se.ta, mv.Target, maxResumeWait)
 	te.HasRoom = true
 	pe, err := di.Gate.Request(se.ctx, mv.Target, te)
@@ -307,6 +318,7 @@
 		Resume: &Resume{Source: mv.From.Address, Handle: mv.Handle, LastEvent: se.lastEvent},
 	}
 	di.Budget.Force(se.ta.service.Name)
+	di.recordSent(mv.Target)
 	an, err := di.Gate.Do(se.ctx, pe, di.Codec.Call(se.ta.Request, at))
 	if err != nil {
 		return err
--- a/internal/dispatch/suspect.go
+++ b/internal/dispatch/suspect.go
@@ -180,7 +180,9 @@
 		return di.Suspects.Judge(se.ta.whole()).Crashes < maxRunCrashes
 	}
 	features := se.crashFeatures()
-	if !di.detectCrash(se.ta, se.endpoint, features) {
+	crashed := di.detectCrash(se.ta, se.endpoint, features)
+	di.recordLoss(se.ta, se.endpoint, crashed)
+	if !crashed {
 		return true
 	}
 	if di.Suspects.Judge(features...).Losses > 1 || di.awaitTurn(se.ctx, se.ta, se.endpoint.Version, maxResumeWait) != nil {
--- a/internal/migration/evacuation.go
+++ b/internal/migration/evacuation.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"filbertstall.example/filbertstall/internal/pause"
@@ -20,8 +21,11 @@
 
 // evacuation is the state of moving all runs off one engine.
 type evacuation struct {
-	source   roster.Endpoint
-	notice   time.Time
+	source roster.Endpoint
+	notice time.Time
+	// leavesAt is when the engine said that it leaves; nil if it stays for now, so that
+	// there is no hurry.
+	leavesAt atomic.Pointer[time.Time]
 	attempts map[*Run]int
 	// full holds the IDs of engines that must not be chosen as a target: the
 	// source and engines without room for a copy.
@@ -31,6 +35,29 @@
 	announced bool
 }
 
+// newEvacuation returns the state of moving runs off an engine that leaves or, if planned
+// is set, stays for now.
+func newEvacuation(en roster.Endpoint, now time.Time, planned bool) *evacuation {
+	ev := &evacuation{source: en, notice: now, attempts: make(map[*Run]int), full: map[string]bool{en.ID: true}}
+	if !planned {
+		ev.leavesAt.Store(&now)
+	}
+	return ev
+}
+
+// planned reports whether the engine stays for now.
+func (ev *evacuation) planned() bool { return ev.leavesAt.Load() == nil }
+
+// sinceNotice returns the time since the engine said that it leaves, or zero if it stays
+// for now.
+func (ev *evacuation) sinceNotice(now time.Time) time.Duration {
+	at := ev.leavesAt.Load()
+	if at == nil {
+		return 0
+	}
+	return now.Sub(*at)
+}
+
 // untried returns the number of runs in list for which no move has been
 // attempted. Only these are announced to other instances, so that a run that
 // cannot be moved does not hold up runs that can.
@@ -55,7 +82,7 @@
 	}
 	begun := mo.Clock.Now()
 	ahead := mo.MoveOrder.Ahead(ev.source.ID)
-	for ctx.Err() == nil && ahead > 0 && mo.Clock.Since(begun) < maxTurnWait(ahead) && mo.Clock.Since(ev.notice) < turnWaitEnd {
+	for ctx.Err() == nil && ahead > 0 && mo.Clock.Since(begun) < maxTurnWait(ahead) && ev.sinceNotice(mo.Clock.Now()) < turnWaitEnd {
 		pause.For(ctx, mo.Clock, turnPollInterval)
 		ahead = mo.MoveOrder.Ahead(ev.source.ID)
 	}
--- a/internal/migration/move.go
+++ b/internal/migration/move.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"filbertstall.example/filbertstall/internal/placement"
@@ -51,7 +52,7 @@
 func (mo *Mover) startMove(ctx context.Context, ev *evacuation, ca candidate) *move {
 	dm := placement.Demand{Engine: ca.run.Engine, Prompt: ca.tokens, Output: min(ca.run.Output, ca.remaining), Zone: ev.source.Zone}
 	for ctx.Err() == nil {
-		ch, found := mo.Tracker.Choose(mo.Roster.View().Ready(ca.run.Service), dm, ev.full)
+		ch, found := mo.Tracker.Choose(mo.targets(ev, ca.run.Service), dm, ev.full)
 		target := ch.Endpoint
 		if !found {
 			mo.Log.Info().Str("event", "move_without_target").Str("request", ca.run.ID).Str("endpoint", ev.source.ID).Int("full", len(ev.full)).Msg("migration: no target engine available; run not moved")
@@ -77,18 +78,32 @@
 	return nil
 }
 
+// targets returns the engines to which runs may be moved. A planned move waits until
+// an engine is no longer cold: a cold one may not take the run after it was stopped.
+func (mo *Mover) targets(ev *evacuation, service string) []roster.Endpoint {
+	ready := mo.Roster.View().Ready(service)
+	planned := ev.planned()
+	if mo.Allows == nil && !planned {
+		return ready
+	}
+	now := mo.Clock.Now()
+	return slices.DeleteFunc(slices.Clone(ready), func(en roster.Endpoint) bool {
+		return mo.Allows != nil && !mo.Allows(en) || planned && now.Before(en.ColdUntil)
+	})
+}
+
 // tryFinalCopy copies what has been added since the last copy. If the link
 // turns out to be idle or little time remains, it makes the final copy. It
 // reports whether the move has ended, successfully or not.
 func (mo *Mover) tryFinalCopy(ctx context.Context, ev *evacuation, mv *move) bool {
-	en, notice := ev.source, ev.notice
+	en := ev.source
 	_, took, err := mo.copyRun(ctx, en, mv, false)
 	if err != nil {
 		mo.logCopyFailure("copy_failed", en, mv, took, err)
 		mo.abandon(en, mv)
 		return true
 	}
-	if !shouldStop(took, mo.Clock.Since(notice)) {
+	if !shouldStop(took, ev.sinceNotice(mo.Clock.Now())) {
 		return false
 	}
 	mo.finalCopy(ctx, ev, mv)
@@ -125,7 +140,7 @@
 // there, so that Run.Await returns where it continues.
 func (mo *Mover) MoveOne(ctx context.Context, ru *Run) bool {
 	en := ru.Endpoint()
-	ev := &evacuation{source: en, notice: mo.Clock.Now(), attempts: make(map[*Run]int), full: map[string]bool{en.ID: true}}
+	ev := newEvacuation(en, mo.Clock.Now(), false)
 	mv := mo.startMove(ctx, ev, ru.snapshot())
 	return mv != nil && mo.finalCopy(ctx, ev, mv)
 }
--- a/internal/migration/mover.go
+++ b/internal/migration/mover.go
@@ -74,10 +74,13 @@
 	Log     zerolog.Logger
 	// MoveOrder must not be nil.
 	MoveOrder MoveOrder
+	// Allows reports whether runs may be moved to an engine. If it is nil, they may be
+	// moved to all.
+	Allows func(roster.Endpoint) bool
 
 	mu         sync.Mutex
 	runs       map[*Run]struct{}
-	evacuating map[string]bool
+	evacuating map[string]*evacuation
 }
 
 // Add registers a run, so that it is moved when its engine leaves.
@@ -122,34 +125,49 @@
 
 // Evacuate starts moving the runs of a leaving engine and returns at once. It
 // has no effect while runs of this engine are already being moved.
-func (mo *Mover) Evacuate(en roster.Endpoint) {
+func (mo *Mover) Evacuate(en roster.Endpoint) { mo.start(en, false) }
+
+// Vacate starts moving the runs off an engine that stays for now, also those that have
+// a standby copy, and returns at once. Targets that are still cold are not used. It has
+// no effect while runs of this engine are already being moved.
+func (mo *Mover) Vacate(en roster.Endpoint) { mo.start(en, true) }
+
+func (mo *Mover) start(en roster.Endpoint, planned bool) {
 	mo.mu.Lock()
 	defer mo.mu.Unlock()
-	if mo.evacuating[en.ID] {
+	now := mo.Clock.Now()
+	if ev := mo.evacuating[en.ID]; ev != nil {
+		if !planned {
+			ev.leavesAt.CompareAndSwap(nil, &now)
+		}
 		return
 	}
 	if mo.evacuating == nil {
-		mo.evacuating = make(map[string]bool)
+		mo.evacuating = make(map[string]*evacuation)
 	}
-	mo.evacuating[en.ID] = true
-	go mo.moveRuns(en)
+	ev := newEvacuation(en, now, planned)
+	mo.evacuating[en.ID] = ev
+	go mo.moveRuns(ev, planned)
 }
 
 // moveRuns moves the runs of one engine until none is left or evacuationTimeout
 // has passed.
-func (mo *Mover) moveRuns(en roster.Endpoint) {
+func (mo *Mover) moveRuns(ev *evacuation, planned bool) {
+	en := ev.source
 	defer func() {
 		mo.mu.Lock()
 		delete(mo.evacuating, en.ID)
 		mo.mu.Unlock()
+		if planned && !ev.planned() {
+			// The engine has left meanwhile, and its time begins with that.
+			mo.Evacuate(en)
+		}
 	}()
-	notice := mo.Clock.Now()
 	ctx, cancel := context.WithTimeout(context.Background(), evacuationTimeout)
 	defer cancel()
-	ev := &evacuation{source: en, notice: notice, attempts: make(map[*Run]int), full: map[string]bool{en.ID: true}}
 	defer mo.MoveOrder.Announce(en.ID, 0)
 	for ctx.Err() == nil {
-		list := movable(mo.candidates(ev), mo.Clock.Since(notice))
+		list := movable(mo.candidates(ev), ev.sinceNotice(mo.Clock.Now()))
 		mo.MoveOrder.Announce(en.ID, ev.untried(list))
 		if len(list) > 0 && mo.moveAll(ctx, ev, list) {
 			continue
@@ -170,7 +188,8 @@
 	for ru := range mo.runs {
 		if ru.Endpoint().ID == ev.source.ID && ev.attempts[ru] < maxMoveAttempts {
 			ca := ru.snapshot()
-			_, ca.standbyUsable = mo.Roster.View().Usable(ca.standby)
+			_, usable := mo.Roster.View().Usable(ca.standby)
+			ca.standbyUsable = usable && !ev.planned()
 			list = append(list, ca)
 		}
 	}
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -103,7 +103,7 @@
 	// orders is the number of the newest change of Orders.
 	orders uint64
 	wake   chan struct{}
-	role      role
+	role   role
 	// storeSilent is set while the reader that this instance follows gets no
 	// answers from the store.
 	storeSilent bool
--- a/internal/relay/orders.go
+++ b/internal/relay/orders.go
@@ -45,6 +45,13 @@
 	since time.Duration
 }
 
+// equal reports whether an order that was told again says nothing new. Ages that were
+// told over different ways differ a little.
+func (or order) equal(known order) bool {
+	const tolerance = time.Second
+	return or.Order == known.Order && known.since-or.since < tolerance
+}
+
 // Put replaces the orders. The age of an order that is known already never gets
 // smaller.
 func (os *Orders) Put(list []rollout.Order) {
@@ -63,8 +70,7 @@
 		next = append(next, order{Order: or.WithAge(0), since: since})
 	}
 	slices.SortFunc(next, func(a, b order) int { return cmp.Compare(a.Service, b.Service) })
-	if os.sequence > 0 && slices.EqualFunc(next, os.list, func(a, b order) bool { return a.Order == b.Order }) {
-		os.list = next
+	if os.sequence > 0 && slices.EqualFunc(next, os.list, order.equal) {
 		os.mu.Unlock()
 		return
 	}
