gateway, loadshare: follow roll-outs, report them, write their status

Each zone's reader watches the orders; the others get them from it. One instance a zone evaluates a service. Reports go to the evaluators at a bounded rate, what an evaluator says and what was found bad to all. The evaluator of the zone that is first for a service writes at once, those of further zones later. Trace names the version of each attempt; the field is endpoint_version, since lines about the configuration have version as a number, and a line that cannot be decoded is left out.

--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -52,7 +52,7 @@
 		Settings: settings, Clock: clockwork.NewRealClock(), Boot: boottime.System{}, Log: log,
 		Adapter: gw.Adapter{
 			Endpoints: platform.Endpoints(store), Configurations: platform.Configurations(store), Evacuations: platform.Evacuations(store),
-			Members: platform.Members(store), Registry: store,
+			Members: platform.Members(store), Registry: store, Rollouts: platform.Rollouts(store), StatusWriter: store,
 			ConfigurationName: platform.ConfigurationName, DecodeConfiguration: platform.DecodeConfiguration, Codec: platform.Codec{}, IDHeader: platform.IDHeader, ReadyPath: platform.ReadyPath, Relocate: store.Relocate,
 			Engines: func(ga *backpressure.Gate) gw.Engines { return platform.Engines{Gate: ga} },
 		},
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -235,7 +235,7 @@
 // logFailedAttempt logs and counts an attempt whose answer is not delivered.
 func (di *Dispatcher) logFailedAttempt(ta *task, en roster.Endpoint, outcome string, err error) {
 	di.Meter.countAttempt(outcome)
-	di.Log.Info().Str("event", "attempt_failed").Str("request", ta.ID).Str("endpoint", en.ID).Str("version", en.Version).Str("how", outcome).
+	di.Log.Info().Str("event", "attempt_failed").Str("request", ta.ID).Str("endpoint", en.ID).Str("endpoint_version", en.Version).Str("how", outcome).
 		Str("repeat", ta.route.RetryClass.String()).Int("ran", ta.ran).Int("arrivals", ta.arrivals).
 		Dur("left", ta.remaining(di.Clock.Now())).AnErr("cause", err).Msg("dispatch: attempt failed")
 }
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -232,7 +232,7 @@
 	if ta.service.Engine == nil {
 		return
 	}
-	di.Log.Info().Str("event", "placed").Str("request", ta.ID).Str("endpoint", ch.Endpoint.ID).Str("zone", ch.Endpoint.Zone).Str("version", ch.Endpoint.Version).
+	di.Log.Info().Str("event", "placed").Str("request", ta.ID).Str("endpoint", ch.Endpoint.ID).Str("zone", ch.Endpoint.Zone).Str("endpoint_version", ch.Endpoint.Version).
 		Float64("cost_ms", ch.Cost).Int("running", ch.Load.Running).Int("reading", ch.Load.PrefillTokens).Int("held", ch.Load.ReservedTokens).
 		Int("ready", ready).Int("prompt", ta.Prompt.Tokens).Msg("dispatch: engine chosen")
 }
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -7,6 +7,7 @@
 	"filbertstall.example/filbertstall/internal/controller"
 	"filbertstall.example/filbertstall/internal/feed"
 	"filbertstall.example/filbertstall/internal/loadshare"
+	"filbertstall.example/filbertstall/internal/rollout"
 	"filbertstall.example/filbertstall/internal/roster"
 	"filbertstall.example/filbertstall/internal/routing"
 )
@@ -41,10 +42,10 @@
 	}
 }
 
-// followEndpointsAndEvacuations returns the controllers that watch the endpoints
-// and the evacuated zones in the store.
-func (gw *Gateway) followEndpointsAndEvacuations() []controller.Controller {
-	return []controller.Controller{
+// followOperators returns the controllers that watch the endpoints, the evacuated zones and
+// the roll-outs in the store.
+func (gw *Gateway) followOperators() []controller.Controller {
+	list := []controller.Controller{
 		&feed.Follower[roster.Endpoint]{
 			Kind: "endpoints", Source: gw.Adapter.Endpoints, Clock: gw.Clock, Boot: gw.Boot, Log: gw.Log, Wait: endpointsWait, Eras: &gw.eras,
 			Sink: &endpointSink{Roster: &gw.roster, onAnswer: gw.relay.CallAnswered},
@@ -54,6 +55,13 @@
 			Sink: &evacuationSink{roster: &gw.roster, clock: gw.Clock},
 		},
 	}
+	if ro := gw.rollouts; ro != nil {
+		list = append(list, &feed.Follower[rollout.Order]{
+			Kind: "rollouts", Source: rolloutSource{Source: gw.Adapter.Rollouts, orders: &ro.orders}, Clock: gw.Clock, Boot: gw.Boot, Log: gw.Log, Wait: rolloutsWait, Eras: &gw.eras,
+			Sink: &rolloutSink{orders: &ro.orders, clock: gw.Clock, log: gw.Log, list: make(map[string]rollout.Order)},
+		})
+	}
+	return list
 }
 
 // followMembers returns the controller that watches the registered instances in
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -31,6 +31,7 @@
 	"filbertstall.example/filbertstall/internal/ratelimit"
 	"filbertstall.example/filbertstall/internal/reachability"
 	"filbertstall.example/filbertstall/internal/relay"
+	"filbertstall.example/filbertstall/internal/rollout"
 	"filbertstall.example/filbertstall/internal/roster"
 	"filbertstall.example/filbertstall/internal/routing"
 	"filbertstall.example/filbertstall/internal/snapshot"
@@ -64,8 +65,11 @@
 	Endpoints      feed.Source[roster.Endpoint]
 	Configurations feed.Source[routing.Configuration]
 	Evacuations    feed.Source[string]
-	Members        feed.Source[loadshare.Member]
-	Registry       Registry
+	// Rollouts and StatusWriter may be nil if operators order no roll-outs.
+	Rollouts     feed.Source[rollout.Order]
+	StatusWriter StatusWriter
+	Members      feed.Source[loadshare.Member]
+	Registry     Registry
 	// ConfigurationName is the name of the object with the configuration.
 	ConfigurationName string
 	// DecodeConfiguration decodes a configuration that another instance forwarded.
@@ -120,6 +124,8 @@
 	forwards *ingress.Server
 	ready    *readiness
 	metrics  *metric.Root
+	// rollouts is nil if operators order none.
+	rollouts *rollouts
 }
 
 // Run serves until ctx is canceled and then shuts down gracefully. It returns an
@@ -196,8 +202,17 @@
 	gw.buildGate(se.member())
 	engines := gw.Adapter.Engines(&gw.gate)
 	mover := &migration.Mover{Engines: engines, Roster: &gw.roster, Tracker: &gw.tracker, Clock: gw.Clock, Log: gw.Log, MoveOrder: &gw.moveOrder}
+	gw.rollouts = gw.buildRollouts(mover)
 	gw.roster = roster.Roster{Clock: gw.Clock, Log: gw.Log, OnLeave: mover.Evacuate, OnChange: gw.relay.Observe}
 	gw.relay = relay.Log{Boot: gw.Boot, Roster: &gw.roster, State: &gw.state, Members: &gw.members, Now: gw.Clock.Now, Epoch: gw.Clock.Now().UnixNano(), Eras: &gw.eras}
+	if ro := gw.rollouts; ro != nil {
+		gw.relay.Orders = &ro.orders
+		gw.roster.OnChange = func() {
+			ro.Endpoints(gw.roster.View().All())
+			gw.relay.Observe()
+		}
+		gw.tracker.Emptying, mover.Allows = ro.leavesByID, ro.Allows
+	}
 	gw.suspects = &suspicion.Registry{Caller: &peer.Client{}, Peers: gw.peerAddresses, Clock: gw.Clock, Log: gw.Log, Changes: gw.tracker.Changes}
 	gw.paths = reachability.Tracker{Roster: &gw.roster, Probe: gw.pool.Reachable, OnReached: gw.tracker.ClearBackoff, Clock: gw.Clock, Log: gw.Log, Changes: gw.tracker.Changes}
 	hangups := &hangup.Watcher{Clock: gw.Clock}
@@ -206,6 +221,9 @@
 		Budget: se.budget(gw.Clock, gw.instanceCount), MaxAges: gw.maxAges,
 		Runs: mover, Suspects: gw.suspects, Turns: turns{limiter: &gw.suspectLimiter}, Reachable: gw.pool.Reachable, Progress: engines.Progress, Paths: &gw.paths, Meter: &dispatch.Meter{Scope: gw.metrics.Scope},
 	}
+	if gw.rollouts != nil {
+		di.Rollouts = gw.rollouts
+	}
 	gw.ingress = ingress.Server{Listener: li.callers, Codec: gw.Adapter.Codec, Dispatcher: di, Hangups: hangups, Clock: gw.Clock, Log: gw.Log}
 	gw.ingress.Prepare()
 	gw.ready = &readiness{state: &gw.state, roster: &gw.roster, maxAges: gw.maxAges, log: gw.Log}
@@ -218,8 +236,11 @@
 		metrics := fasthttpadaptor.NewFastHTTPHandler(gw.metrics.Handler)
 		controllers = append(controllers, &auxiliaryServer{name: "metrics", listener: li.metrics, handler: metrics})
 	}
+	if gw.rollouts != nil {
+		controllers = append(controllers, gw.rollouts)
+	}
 	if li.peers == nil {
-		return append(append(controllers, gw.followConfiguration()), gw.followEndpointsAndEvacuations()...)
+		return append(append(controllers, gw.followConfiguration()), gw.followOperators()...)
 	}
 	return append(controllers, gw.peerControllers(li, di, hangups)...)
 }
--- a/internal/gateway/share.go
+++ b/internal/gateway/share.go
@@ -23,6 +23,9 @@
 		Conn: li.peers, Instance: se.Instance, Zone: se.Zone, Tracker: &gw.tracker, Members: &gw.members, MoveOrder: &gw.moveOrder, Clock: gw.Clock, Log: gw.Log,
 		Statements: &gw.signals, Suspects: gw.suspects, Paths: &gw.paths, Heard: gw.peers.Heard,
 	}
+	if gw.rollouts != nil {
+		exchange.Rollouts, gw.rollouts.exchange = gw.rollouts, exchange
+	}
 	peers := &peer.Server{Listener: li.calls}
 	err := errors.Join(
 		peers.Register(relay.ServiceName, gw.relay.Service()), peers.Register(suspicion.ServiceName, gw.suspects.Service()),
@@ -35,7 +38,7 @@
 	known := make(chan struct{})
 	gw.relaySwitch = relay.Switch{
 		Log: &gw.relay, Caller: &peer.Client{}, Self: self, Members: &gw.members, Registered: known, Alive: exchange.IsAlive,
-		Configuration: gw.followConfiguration(), Others: append(gw.followEndpointsAndEvacuations(), gw.followMembers()),
+		Configuration: gw.followConfiguration(), Others: append(gw.followOperators(), gw.followMembers()),
 		Fetch: gw.fetchConfiguration, Decode: gw.Adapter.DecodeConfiguration,
 		Roster: &gw.roster, State: &gw.state, Clock: gw.Clock, Boot: gw.Boot, Logger: gw.Log, OnPanic: gw.logPanic,
 	}
--- a/internal/gateway/sink.go
+++ b/internal/gateway/sink.go
@@ -9,6 +9,8 @@
 	"github.com/rs/zerolog"
 
 	"filbertstall.example/filbertstall/internal/feed"
+	"filbertstall.example/filbertstall/internal/relay"
+	"filbertstall.example/filbertstall/internal/rollout"
 	"filbertstall.example/filbertstall/internal/roster"
 	"filbertstall.example/filbertstall/internal/routing"
 )
@@ -156,3 +158,76 @@
 	zones := slices.Sorted(maps.Keys(all))
 	es.roster.SetEvacuatedZones(zones)
 }
+
+// rolloutSink tracks the roll-outs that operators have ordered.
+type rolloutSink struct {
+	orders *relay.Orders
+	clock  clockwork.Clock
+	log    zerolog.Logger
+	list   map[string]rollout.Order
+	// held has the orders that were known when the store was restored from an older
+	// copy, until operators have had time to write them again.
+	held      map[string]rollout.Order
+	heldUntil time.Time
+}
+
+// Restored implements feed.Sink.
+func (rs *rolloutSink) Restored() {
+	rs.held, rs.heldUntil = make(map[string]rollout.Order), rs.clock.Now().Add(rewriteTime)
+	for _, or := range rs.orders.List() {
+		rs.held[or.Service] = or
+	}
+}
+
+// Reset implements feed.Sink.
+func (rs *rolloutSink) Reset(list []feed.Object[rollout.Order]) {
+	rs.list = make(map[string]rollout.Order, len(list))
+	for _, ob := range list {
+		rs.put(ob)
+	}
+	rs.publish()
+}
+
+// Apply implements feed.Sink.
+func (rs *rolloutSink) Apply(list []feed.Change[rollout.Order]) {
+	for _, ch := range list {
+		if ch.Removed {
+			delete(rs.list, ch.Object.Name)
+			continue
+		}
+		rs.put(ch.Object)
+	}
+	rs.publish()
+}
+
+// put takes over an order. One that can't be read orders nothing.
+func (rs *rolloutSink) put(ob feed.Object[rollout.Order]) {
+	if ob.Value == nil {
+		delete(rs.list, ob.Name)
+		rs.log.Warn().Str("event", "rollout_unreadable").Str("service", ob.Name).Err(ob.Err).Msg("gateway: order of a roll-out could not be decoded; it orders nothing")
+		return
+	}
+	rs.list[ob.Name] = *ob.Value
+}
+
+// CallAnswered implements feed.Sink.
+func (rs *rolloutSink) CallAnswered(begun time.Duration) {
+	if rs.held != nil && !rs.clock.Now().Before(rs.heldUntil) {
+		rs.held = nil
+		rs.publish()
+	}
+	rs.orders.Confirm(begun)
+}
+
+// CallFailed implements feed.Sink.
+func (*rolloutSink) CallFailed(error) {}
+
+func (rs *rolloutSink) publish() {
+	all := maps.Clone(rs.list)
+	for service, or := range rs.held {
+		if _, known := all[service]; !known {
+			all[service] = or
+		}
+	}
+	rs.orders.Put(slices.Collect(maps.Values(all)))
+}
--- a/internal/loadshare/exchange.go
+++ b/internal/loadshare/exchange.go
@@ -57,6 +57,9 @@
 	// Paths supplies the services whose endpoints this instance cannot reach, and
 	// receives those of others. Nil exchanges none.
 	Paths Paths
+	// Rollouts supplies the reports of roll-outs that SendReports sends, and receives
+	// those of others. Nil exchanges none.
+	Rollouts Rollouts
 	// Heard is called with the name of the sender of each message. It may be nil.
 	Heard func(instance string)
 	Clock clockwork.Clock
@@ -64,6 +67,8 @@
 
 	mu      sync.Mutex
 	senders map[string]*sender
+	// reports is used by SendReports only.
+	reports reportState
 }
 
 // Statements are what endpoints say of the requests that they take.
@@ -193,6 +198,8 @@
 		ex.applySuspects(data)
 	case isPaths(data):
 		ex.applyPaths(data)
+	case isReport(data):
+		ex.applyReport(data)
 	default:
 		ex.applyLoads(data)
 	}
--- a/internal/placement/load_tracker.go
+++ b/internal/placement/load_tracker.go
@@ -43,6 +43,10 @@
 	Changes chan struct{}
 	// Backpressure tells which endpoints take requests. If it is nil, all do.
 	Backpressure Backpressure
+	// Emptying reports whether an endpoint is about to be stopped once nothing runs
+	// there any more, so that calls of plain services there are reported, too. Nil
+	// means that none is.
+	Emptying func(id string) bool
 
 	mu       sync.Mutex
 	accounts map[string]*account
@@ -245,13 +249,24 @@
 	defer lt.mu.Unlock()
 	loads := make(map[string]Load, len(lt.accounts))
 	for id, ac := range lt.accounts {
-		if ac.generations > 0 || ac.reservedTokens > 0 {
+		switch {
+		case ac.generations > 0 || ac.reservedTokens > 0:
 			loads[id] = Load{Running: ac.generations, PrefillTokens: ac.prefillTokens, ReservedTokens: ac.reservedTokens}
+		case ac.inFlight > 0 && lt.Emptying != nil && lt.Emptying(id):
+			loads[id] = Load{Running: ac.inFlight}
 		}
 	}
 	return loads
 }
 
+// Running returns the number of requests in flight at an endpoint, as far as instances
+// report them.
+func (lt *LoadTracker) Running(id string) int {
+	lt.mu.Lock()
+	defer lt.mu.Unlock()
+	return lt.load(id).Running
+}
+
 // SetRemoteLoads replaces the loads that another instance reported. Nil loads
 // remove the instance.
 func (lt *LoadTracker) SetRemoteLoads(instance string, loads map[string]Load) {
--- a/internal/relay/orders.go
+++ b/internal/relay/orders.go
@@ -2,8 +2,10 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -24,8 +26,10 @@
 	// nil.
 	OnChange func(before, after []rollout.Order)
 
-	mu   sync.Mutex
-	list []order
+	// count is the number of orders.
+	count atomic.Int32
+	mu    sync.Mutex
+	list  []order
 	// sequence counts the changes, from 1 on.
 	sequence uint64
 	// confirmed is the boot time at which the store was known to have these orders;
@@ -75,6 +79,7 @@
 		return
 	}
 	os.list = next
+	os.count.Store(int32(min(len(next), math.MaxInt32)))
 	os.sequence++
 	after := os.at(now)
 	os.Registry.Put(after)
@@ -107,6 +112,16 @@
 	}
 }
 
+// Has reports whether there is an order for a service.
+func (os *Orders) Has(service string) bool {
+	if os.count.Load() == 0 {
+		return false
+	}
+	os.mu.Lock()
+	defer os.mu.Unlock()
+	return slices.ContainsFunc(os.list, func(or order) bool { return or.Service == service })
+}
+
 // List returns the orders, sorted by service, with their present ages.
 func (os *Orders) List() []rollout.Order {
 	if os == nil {
--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -35,6 +35,9 @@
 	Request  string `json:"request"`
 	Endpoint string `json:"endpoint"`
 	Target   string `json:"target"`
+	// Version is that of the endpoint, and State that of a roll-out.
+	Version string `json:"endpoint_version"`
+	State   string `json:"state"`
 	// To is the instance that a request was forwarded to, and Forwarded is set if the line
 	// is about an answer that came from there.
 	To        string `json:"to"`
@@ -60,7 +63,7 @@
 	at := time.UnixMilli(li.Time).UTC().Format("15:04:05.000")
 	parts := []string{at, li.Instance, li.Event}
 	for _, fi := range []struct{ name, value string }{
-		{"endpoint", li.Endpoint}, {"target", li.Target}, {"to", li.To}, {"reason", li.Reason}, {"outcome", li.Outcome}, {"how", li.How},
+		{"endpoint", li.Endpoint}, {"version", li.Version}, {"target", li.Target}, {"state", li.State}, {"to", li.To}, {"reason", li.Reason}, {"outcome", li.Outcome}, {"how", li.How},
 		{"kind", li.Kind}, {"detail", li.Detail}, {"cause", li.Cause}, {"error", li.Error},
 	} {
 		if fi.value != "" {
@@ -94,6 +97,7 @@
 	"endpoint_leaves": true, "endpoint_gone": true, "endpoint_held": true, "crash_suspected": true, "dependency_lost": true,
 	"dependency_regained": true, "engine_leaves": true, "reader_left": true, "configuration": true, "evacuations": true, "stopping": true, "stop_cuts": true,
 	"log_dropped": true, "endpoint_limited": true, "endpoint_limit_ended": true, "endpoint_retry_after": true, "endpoint_leaving": true,
+	"rollout_ordered": true, "rollout_stage": true, "rollout_verdict": true, "rollout_completed": true, "rollout_rolled_back": true,
 	"path_lost": true, "path_back": true, "part_blamed": true, "request_blamed": true, "endpoint_brittle": true,
 }
 
--- a/internal/trace/trace_test.go
+++ b/internal/trace/trace_test.go
@@ -7,7 +7,8 @@
 	. "github.com/onsi/gomega"
 )
 
-const logs = `   1.2 edge-1 {"level":"info","instance":"edge-1","event":"placed","request":"r1","endpoint":"e1","time":5000}
+const logs = `   1.2 edge-1 {"level":"info","instance":"edge-1","event":"placed","request":"r1","endpoint":"e1","endpoint_version":"v2","time":5000}
+{"level":"info","instance":"edge-1","event":"rollout_rolled_back","service":"pool","target":"v2","state":"rolled_back","time":3000}
 not a line
 {"level":"info","instance":"edge-1","event":"endpoint_leaves","endpoint":"e1","time":6000}
 {"level":"info","instance":"edge-2","event":"endpoint_leaves","endpoint":"e1","time":6001}
@@ -28,7 +29,7 @@
 		events  []string
 		cause   string
 	}{
-		{"r1", []string{"placed", "endpoint_leaves", "copy_failed", "stream_broken"}, "The stream broke at e1: unexpected EOF; the endpoint had left 1600 ms before; a move to e2 failed: no room."},
+		{"r1", []string{"rollout_rolled_back", "placed", "endpoint_leaves", "copy_failed", "stream_broken"}, "The stream broke at e1: unexpected EOF; the endpoint had left 1600 ms before; a move to e2 failed: no room."},
 		{"r2", []string{"dependency_lost", "refused"}, "The instance refused it: stale_configuration (not_run); the store has not confirmed keys for 4.8s."},
 		{"r3", []string{"dependency_lost", "attempt_failed", "refused"}, "The instance refused it: timed_out (unknown); no answer within 800ms."},
 		{"r9", nil, "The logs do not say how it ended; a plain call that was answered has no line."},
@@ -54,6 +55,17 @@
 	g.Expect(li.String()).To(Equal("00:00:01.000 i refused reason=timed_out"))
 }
 
+// The lines of attempts name the version of their endpoint, also beside those that have a
+// version of the configuration, which is a number.
+func TestVersionsOfAttempts(t *testing.T) {
+	g := NewWithT(t)
+	li, found := parse([]byte(`{"instance":"i","event":"attempt_failed","endpoint":"e1","endpoint_version":"v2","how":"lost","time":1000}`))
+	g.Expect(found).To(BeTrue())
+	g.Expect(li.String()).To(Equal("00:00:01.000 i attempt_failed endpoint=e1 version=v2 how=lost"))
+	_, found = parse([]byte(`{"instance":"i","event":"refused","version":7,"time":1000}`))
+	g.Expect(found).To(BeTrue())
+}
+
 func FuzzParse(f *testing.F) {
 	f.Add([]byte(`x {"event":"refused","time":1}`))
 	f.Fuzz(func(t *testing.T, data []byte) {
