--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -57,7 +57,7 @@
 	}
 	if ro := gw.rollouts; ro != nil {
 		list = append(list, &feed.Follower[rollout.Order]{
-			Kind: "rollouts", Source: rolloutSource{Source: gw.Adapter.Rollouts, orders: &ro.orders}, Clock: gw.Clock, Boot: gw.Boot, Log: gw.Log, Wait: rolloutsWait, Eras: &gw.eras,
+			Kind: "rollouts", Source: rolloutSource{Source: gw.Adapter.Rollouts, orders: &ro.orders, roster: &gw.roster}, Clock: gw.Clock, Boot: gw.Boot, Log: gw.Log, Wait: rolloutsWait, Eras: &gw.eras,
 			Sink: &rolloutSink{orders: &ro.orders, clock: gw.Clock, log: gw.Log, list: make(map[string]rollout.Order)},
 		})
 	}
--- a/internal/gateway/rollout.go
+++ b/internal/gateway/rollout.go
@@ -36,11 +36,13 @@
 	zoneTurn = 400 * time.Millisecond
 	// reportedTime is the time from a change of a stage until all instances in contact
 	// have reported what still runs at the endpoints that are to stop.
-	reportedTime = 2 * time.Second
+	reportedTime = 1500 * time.Millisecond
 	// rolloutsWait and orderedWait are the long-poll times of the calls that watch the
-	// orders, without and with one that is not finished. Each answer confirms them.
+	// orders. The latter is used while an order is not finished, or a service has
+	// several versions. Each answer confirms the orders: their age reaches twice that
+	// at a reader and a second more at its followers.
 	rolloutsWait = 4 * time.Second
-	orderedWait  = time.Second
+	orderedWait  = 500 * time.Millisecond
 )
 
 // rollouts connects the roll-outs that operators order with the parts of an instance.
@@ -215,11 +217,14 @@
 	return list
 }
 
-// evaluates reports whether this instance evaluates the roll-out of a service. An
-// instance that knows no others does.
+// evaluates reports whether this instance evaluates the roll-out of a service. One that
+// knows no others does; one that hears less than half of them doesn't.
 func (ro *rollouts) evaluates(service string) bool {
-	me := ro.gw.peers.View(service, ro.gw.Settings.Zone).Allocator
-	return me == nil || me.Name == ro.gw.Settings.Instance
+	vi := ro.gw.peers.View(service, ro.gw.Settings.Zone)
+	if vi.Allocator == nil {
+		return true
+	}
+	return vi.Allocator.Name == ro.gw.Settings.Instance && 2*vi.Alive >= vi.Total
 }
 
 // pending returns how many requests are at endpoints of other versions than the target,
@@ -287,17 +292,34 @@
 		Dur("budget", or.Budget).Dur("age", or.Age).Int64("revision", or.Revision).Msg(message)
 }
 
-// rolloutSource makes calls that watch orders shorter while one is not finished, because
-// instances need a fresh confirmation then.
+// rolloutSource makes calls that watch orders shorter while instances need a fresh
+// confirmation of them.
 type rolloutSource struct {
 	feed.Source[rollout.Order]
 	orders *relay.Orders
+	roster *roster.Roster
 }
 
 // Watch implements feed.Source.
 func (rs rolloutSource) Watch(ctx context.Context, after feed.Position, wait time.Duration) ([]feed.Change[rollout.Order], feed.Position, error) {
-	if slices.ContainsFunc(rs.orders.List(), func(or rollout.Order) bool { return !or.State.Final() }) {
+	if rs.needsFresh() {
 		wait = min(wait, orderedWait)
 	}
 	return rs.Source.Watch(ctx, after, wait)
 }
+
+// needsFresh reports whether an order is not finished, or a service has endpoints of
+// several versions, so that one may be new.
+func (rs rolloutSource) needsFresh() bool {
+	if slices.ContainsFunc(rs.orders.List(), func(or rollout.Order) bool { return !or.State.Final() }) {
+		return true
+	}
+	versions := make(map[string]string)
+	for _, en := range rs.roster.View().All() {
+		if before, seen := versions[en.Service]; seen && before != en.Version {
+			return true
+		}
+		versions[en.Service] = en.Version
+	}
+	return false
+}
