rollout: orders, shares, the judge and the stages

One endpoint that fails must not look like a bad version: the evidence must also reach a lower limit without the worst endpoint.

--- /dev/null
+++ b/internal/rollout/exposure.go
@@ -0,0 +1,60 @@
+package rollout
+
+import "time"
+
+const (
+	// goal is the part of the allowed exposure that is planned for.
+	goal = 0.4
+	// maxShare bounds the share during the canary, so that there are old answers to
+	// compare with.
+	maxShare = 0.3
+	// shareLifetime is how long the share that an evaluator has told is used.
+	shareLifetime = 3 * time.Second
+	// trafficFloor is the part of the present rate that is counted on for the rest of
+	// the budget.
+	trafficFloor = 0.5
+	// leastWatch limits how fast what is left of the exposure is used.
+	leastWatch = time.Second
+	// fullFactor is how much more than the base share is used at least in the last
+	// seconds, fullTolerance the part of it from which they have begun.
+	fullFactor    = 3
+	fullTolerance = 0.9
+	// settleTime is the time after the order from which its rate of requests is known.
+	settleTime = time.Second
+)
+
+// baseShare is the share without a word of an evaluator. The sum over all instances
+// stays within goal of the bound whatever they know of each other.
+func (bo Bounds) baseShare() float64 { return min(goal*bo.Share, maxShare) }
+
+// plannedShare is the share that an evaluator sets. What is left of the planned exposure
+// is kept for the last seconds before the decision, at a share that gives one endpoint
+// of the target the load of an old one: faults that come late or under load show then.
+// endpoints is the number of endpoints of the target.
+func (bo Bounds) plannedShare(le *ledger, age, budget, decision time.Duration, endpoints int) float64 {
+	base := bo.baseShare()
+	if age < settleTime {
+		return base
+	}
+	all := float64(le.sentOld + le.sentNew)
+	rate := all / age.Seconds()
+	if rate <= 0 {
+		return maxShare
+	}
+	expected := all + trafficFloor*rate*max(budget-age, 0).Seconds()
+	left := goal*(bo.Share*expected+float64(bo.Slack)) - float64(le.sentNew)
+	even := left / (rate * max(decision-age, leastWatch).Seconds())
+	full := min(max(1/float64(max(endpoints, 1)), fullFactor*base), maxShare)
+	if even < full*fullTolerance {
+		return min(max(even, 0), base)
+	}
+	return min(even, maxShare)
+}
+
+// fits reports whether all requests until the end of the budget may go to the target
+// within the bound.
+func (bo Bounds) fits(le *ledger, age, budget time.Duration) bool {
+	all := float64(le.sentOld + le.sentNew)
+	rest := all / max(age, settleTime).Seconds() * max(budget-age, 0).Seconds()
+	return float64(le.sentNew)+rest <= goal*(bo.Share*(all+rest)+float64(bo.Slack))
+}
--- a/internal/rollout/report.go
+++ b/internal/rollout/report.go
@@ -14,13 +14,16 @@
 	// Verdict is RolledBack once an evaluator has found the target bad; it stops the
 	// target everywhere. Else it is Pending.
 	Verdict State
-	// Share is the share of the requests that go to the target, as an evaluator sets
-	// it. It counts only if Evaluator is set.
+	// Evaluator is set in the reports of an instance that evaluates the service. Share
+	// is the share of the requests that it lets go to the target.
 	Evaluator bool
 	Share     float64
 	// SentOld and SentNew are the requests sent to endpoints of other versions and to
 	// those of the target.
 	SentOld, SentNew uint32
+	// CrashedOld and CrashedNew name endpoint processes that crashed, at most
+	// maxCrashes each.
+	CrashedOld, CrashedNew []string
 	// Rows has at most maxRows rows.
 	Rows []Row
 }
@@ -41,12 +44,54 @@
 	Latency [LatencyBuckets]uint32
 }
 
-// LatencyBuckets is the number of buckets of a latency histogram.
-const LatencyBuckets = 24
+const (
+	// LatencyBuckets is the number of buckets of a latency histogram.
+	LatencyBuckets = 24
+	firstBucket    = 4 * time.Millisecond
+	bucketRatio    = 1.5
+	// maxRows limits the rows of a report. Further endpoints of the target share one
+	// row for each route, under otherEndpoints; further routes are not counted.
+	maxRows        = 64
+	maxCrashes     = 16
+	otherEndpoints = "*"
+)
 
-// maxRows limits the rows of a report. Answers of further endpoints are counted
-// together, for otherEndpoints.
-const maxRows = 64
+// bucketOf returns the bucket of a latency.
+func bucketOf(latency time.Duration) int {
+	bound := float64(firstBucket)
+	for ix := range LatencyBuckets - 1 {
+		if float64(latency) <= bound {
+			return ix
+		}
+		bound *= bucketRatio
+	}
+	return LatencyBuckets - 1
+}
+
+func (to *Totals) add(other *Totals) {
+	to.Answers += other.Answers
+	to.Failures += other.Failures
+	for ix, count := range other.Latency {
+		to.Latency[ix] += count
+	}
+}
 
-// otherEndpoints stands for the endpoints of the target that have no row of their own.
-const otherEndpoints = "*"
+func (to *Totals) subtract(other *Totals) {
+	to.Answers -= other.Answers
+	to.Failures -= other.Failures
+	for ix, count := range other.Latency {
+		to.Latency[ix] -= count
+	}
+}
+
+// measured is the number of answers in the histogram, slow the number of those from a
+// bucket on.
+func (to *Totals) measured() int { return to.slow(0) }
+
+func (to *Totals) slow(from int) int {
+	count := 0
+	for ix := max(from, 0); ix < LatencyBuckets; ix++ {
+		count += int(to.Latency[ix])
+	}
+	return count
+}
--- /dev/null
+++ b/internal/rollout/rollout.go
@@ -0,0 +1,107 @@
+package rollout
+
+import (
+	"time"
+
+	"github.com/rs/zerolog"
+)
+
+// rollout is the course of one order, as this instance knows it.
+type rollout struct {
+	order Order
+	// origin is a time by the own clock at which the order had been written.
+	origin time.Time
+	// state is the furthest one that the store has shown, stateAt when it was first.
+	state   State
+	stateAt time.Time
+	// bad is set once an evaluator has found the target bad, and reason says why.
+	bad    bool
+	reason string
+	// halted is set once this instance has found the target bad itself. It sends it
+	// nothing more, and leaves the verdict to the evaluator.
+	halted bool
+	ledger *ledger
+	judge  judge
+	// share is the evaluator's, pending the number of runs at old endpoints.
+	share   float64
+	shareAt time.Time
+	pending int
+	// offered is the last transition that Next has returned, offeredAt when.
+	offered   Transition
+	offeredAt time.Time
+}
+
+func (re *Registry) newRollout(or Order, now time.Time) *rollout {
+	if re.boot == 0 {
+		re.boot = uint64(now.UnixNano())
+	}
+	return &rollout{
+		order: or, origin: now.Add(-or.Age), stateAt: now,
+		ledger: newLedger(Report{Service: or.Service, Target: or.Target, Boot: re.boot}),
+	}
+}
+
+// age is a lower bound of the time since the order was written.
+func (ro *rollout) age(now time.Time) time.Duration { return now.Sub(ro.origin) }
+
+func (ro *rollout) learnAge(age time.Duration, now time.Time) {
+	if origin := now.Add(-age); origin.Before(ro.origin) {
+		ro.origin = origin
+	}
+}
+
+// put takes in what the store has of the order. A final state of the store always
+// counts; one that is behind what was known is that of an older copy.
+func (ro *rollout) put(or Order, now time.Time, log zerolog.Logger) {
+	ro.learnAge(or.Age, now)
+	ro.order = or
+	if or.State == ro.state || !or.State.Final() && or.State < ro.state {
+		return
+	}
+	log.Info().Str("event", "rollout_state").Str("service", or.Service).Str("target", or.Target).Stringer("from", ro.state).Stringer("to", or.State).Msg("rollout: state has changed")
+	ro.state, ro.stateAt = or.State, now
+}
+
+// merge takes in the report of another instance. It reports whether the target must not
+// be used any more since.
+func (ro *rollout) merge(instance string, rep Report, now time.Time, log zerolog.Logger) bool {
+	ro.learnAge(rep.Age, now)
+	if !ro.ledger.merge(instance, rep) {
+		return false
+	}
+	if rep.Evaluator && rep.Verdict != RolledBack {
+		ro.learnShare(rep.Share, now)
+	}
+	if rep.Verdict == RolledBack && !ro.bad && ro.state != Completed {
+		ro.condemn("told by "+instance, log)
+		return true
+	}
+	return false
+}
+
+// learnShare takes the share of an evaluator. If two evaluate, the lower one counts.
+func (ro *rollout) learnShare(share float64, now time.Time) {
+	if share <= ro.share || now.Sub(ro.shareAt) > shareLifetime/2 {
+		ro.share, ro.shareAt = share, now
+	}
+}
+
+// condemn records that the target is bad.
+func (ro *rollout) condemn(reason string, log zerolog.Logger) {
+	ro.bad, ro.reason = true, reason
+	ro.ledger.own.Verdict = RolledBack
+	ro.ledger.unsent = true
+	log.Warn().Str("event", "rollout_bad").Str("service", ro.order.Service).Str("target", ro.order.Target).Str("reason", reason).Msg("rollout: the version is bad; not using it")
+}
+
+// currentShare is the share of the requests that goes to the target.
+func (ro *rollout) currentShare(bo Bounds, now time.Time) float64 {
+	if ro.state == Promoting {
+		part := min(1, now.Sub(ro.stateAt).Seconds()/rampTime.Seconds())
+		return firstStep + (1-firstStep)*part*part
+	}
+	if now.Sub(ro.shareAt) > shareLifetime {
+		return bo.baseShare()
+	}
+	return ro.share
+}
--- /dev/null
+++ b/internal/rollout/stage.go
@@ -0,0 +1,188 @@
+package rollout
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+const (
+	// repeatAfter is the time after which Next returns the same transition again.
+	repeatAfter = 300 * time.Millisecond
+	// rampTime is the time in which the share rises from firstStep to 1 once the target
+	// was found good.
+	rampTime  = 1200 * time.Millisecond
+	firstStep = 0.25
+	// promoteTime is reserved for the promotion, and moveTime for each run that has to
+	// move. Together they are at most maxPromotePart of the budget.
+	promoteTime    = 1500 * time.Millisecond
+	moveTime       = 10 * time.Millisecond
+	maxPromotePart = 0.35
+	// watchTime is the least time between the promotion and the end, in which the old
+	// endpoints can still take the requests back.
+	watchTime = 2 * time.Second
+	// doubtTime is how long the decision waits while there is some evidence.
+	doubtTime = time.Second
+	// leastAnswers is the number of the target's answers without which it is promoted
+	// only if the bound holds even if it is bad.
+	leastAnswers = 20
+	// marginPart of the budget is left at its end for the write of the last status, but
+	// at least leastMargin and at most mostMargin.
+	marginPart  = 0.08
+	leastMargin = 500 * time.Millisecond
+	mostMargin  = 2 * time.Second
+)
+
+// Next evaluates all orders and returns a status that should be written now. It must be
+// called several times a second on each instance. evaluator reports whether this
+// instance is the one that evaluates a service; it must be false on an instance that
+// hears less than half of the others. pending returns how many runs and requests are
+// still at endpoints of other versions than the target, in the fleet.
+func (re *Registry) Next(evaluator func(service string) bool, pending func(service, target string) int) (Transition, bool) {
+	if re.Bounds.Share <= 0 {
+		return Transition{}, false
+	}
+	re.mu.Lock()
+	defer re.mu.Unlock()
+	now := re.Clock.Now()
+	var next *Transition
+	for _, name := range slices.Sorted(maps.Keys(re.services)) {
+		se := re.services[name]
+		if se.rollout == nil {
+			continue
+		}
+		evaluates := evaluator(name)
+		if !se.rollout.state.Final() {
+			re.evaluate(se, evaluates, pending(name, se.rollout.order.Target), now)
+		}
+		if tr, due := re.transition(se, evaluates, now); due && next == nil {
+			se.rollout.offeredAt = now
+			next = &tr
+		}
+	}
+	re.publish(now)
+	if next == nil {
+		return Transition{}, false
+	}
+	return *next, true
+}
+
+// evaluate enters new answers into the judge and acts on its verdict: this instance
+// stops at once, the evaluator stops all.
+func (re *Registry) evaluate(se *service, evaluates bool, pending int, now time.Time) {
+	ro := se.rollout
+	ro.pending = pending
+	ro.judge.step(ro.ledger, now, ro.state == Promoting)
+	le := ro.ledger
+	if le.own.Evaluator != evaluates {
+		le.own.Evaluator, le.unsent = evaluates, true
+	}
+	running := len(se.running(ro.order.Target))
+	if reason, bad := ro.judge.verdict(running > 1); bad && !ro.bad && ro.state != Pending {
+		if !ro.halted {
+			ro.halted = true
+			re.Log.Info().Str("event", "rollout_halted").Str("service", se.name).Str("target", ro.order.Target).Str("reason", reason).Msg("rollout: this instance sends the version no more requests")
+		}
+		if evaluates {
+			ro.condemn(reason, re.Log)
+		}
+	}
+	if evaluates && !ro.bad {
+		share := re.Bounds.plannedShare(le, ro.age(now), ro.order.Budget, ro.decision(), running)
+		if share != le.own.Share {
+			le.own.Share, le.unsent = share, true
+		}
+		ro.learnShare(share, now)
+	}
+}
+
+// margin is the time before the end of the budget by which the last status is written.
+func (ro *rollout) margin() time.Duration {
+	return min(max(time.Duration(float64(ro.order.Budget)*marginPart), leastMargin), mostMargin)
+}
+
+// decision is the age at which the target is promoted if it was not found bad: as late
+// as the moves of the runs allow.
+func (ro *rollout) decision() time.Duration {
+	need := promoteTime + time.Duration(ro.pending)*moveTime
+	need = min(need, time.Duration(float64(ro.order.Budget)*maxPromotePart))
+	return max(ro.order.Budget-ro.margin()-need, 0)
+}
+
+// transition returns the status that is due for an order.
+func (re *Registry) transition(se *service, evaluates bool, now time.Time) (Transition, bool) {
+	ro := se.rollout
+	st, reason := re.due(se, now)
+	if !evaluates || st == ro.order.State || ro.order.State.Final() {
+		return Transition{}, false
+	}
+	tr := Transition{Service: se.name, Target: ro.order.Target, State: st, Revision: ro.order.Revision, Reason: reason}
+	if ro.offered == tr && now.Sub(ro.offeredAt) < repeatAfter {
+		return Transition{}, false
+	}
+	ro.offered = tr
+	tr.Age = ro.age(now)
+	return tr, true
+}
+
+// due returns the state that the order should have in the store.
+func (re *Registry) due(se *service, now time.Time) (State, string) {
+	ro, age := se.rollout, se.rollout.age(now)
+	switch {
+	case ro.state.Final():
+		return ro.state, "was reached before"
+	case ro.bad:
+		return RolledBack, ro.reason
+	case re.stale(now):
+		return ro.order.State, ""
+	case ro.state == Pending:
+		return re.dueFromPending(se, age)
+	case ro.state == Canary:
+		return re.dueFromCanary(se, age)
+	case ro.pending == 0 && now.Sub(ro.stateAt) >= watchTime:
+		return Completed, "nothing is left at old endpoints"
+	case age >= ro.order.Budget-ro.margin():
+		return Completed, "the budget ends"
+	}
+	return Promoting, ""
+}
+
+func (re *Registry) dueFromPending(se *service, age time.Duration) (State, string) {
+	ro := se.rollout
+	if len(se.running(ro.order.Target)) > 0 {
+		return Canary, "endpoints have started"
+	}
+	if age >= ro.order.Budget-ro.margin() {
+		return RolledBack, "no endpoint has started"
+	}
+	return Pending, ""
+}
+
+func (re *Registry) dueFromCanary(se *service, age time.Duration) (State, string) {
+	ro := se.rollout
+	late := age >= ro.order.Budget-ro.margin()
+	wait := ro.decision()
+	if ro.judge.doubt(len(se.running(ro.order.Target)) > 1) {
+		wait += doubtTime
+	}
+	switch enough := ro.ledger.targetAnswers() >= leastAnswers || re.Bounds.fits(ro.ledger, age, ro.order.Budget); {
+	case len(se.running(ro.order.Target)) == 0 && late:
+		return RolledBack, "no endpoint is left"
+	case age >= wait && enough:
+		return Promoting, "no worse than the old version"
+	case late:
+		return RolledBack, "too few answers to judge"
+	}
+	return Canary, ""
+}
+
+// targetAnswers is the number of answers that the target has given.
+func (le *ledger) targetAnswers() int {
+	count := 0
+	for _, rt := range le.routes {
+		for _, to := range rt.targets {
+			count += int(to.Answers)
+		}
+	}
+	return count
+}
