--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -298,7 +298,8 @@
 // resume continues the run on the target of its move or takeover.
 func (se *session) resume(mv migration.Moved) error {
 	di := se.di
-	if len(di.allows([]roster.Endpoint{mv.Target})) == 0 {
+	// A run that was stopped at its own engine goes on there whatever its version is.
+	if mv.From.ID != mv.Target.ID && len(di.allows([]roster.Endpoint{mv.Target})) == 0 {
 		return errVersionStopped
 	}
 	te := di.terms(se.ta, mv.Target, maxResumeWait)
--- a/internal/loadshare/rollout.go
+++ b/internal/loadshare/rollout.go
@@ -100,6 +100,8 @@
 	data = binary.AppendUvarint(data, math.Float64bits(re.Share))
 	data = binary.AppendUvarint(data, uint64(re.SentOld))
 	data = binary.AppendUvarint(data, uint64(re.SentNew))
+	data = appendStrings(data, re.CrashedOld)
+	data = appendStrings(data, re.CrashedNew)
 	rows := re.Rows[:min(len(re.Rows), maxReportRows)]
 	data = binary.AppendUvarint(data, uint64(len(rows)))
 	for _, ro := range rows {
@@ -112,6 +114,14 @@
 	return data
 }
 
+func appendStrings(data []byte, list []string) []byte {
+	data = binary.AppendUvarint(data, uint64(len(list)))
+	for _, text := range list {
+		data = appendString(data, text)
+	}
+	return data
+}
+
 // appendLatency appends the buckets of a histogram that are not empty, by number.
 func appendLatency(data []byte, latency [rollout.LatencyBuckets]uint32) []byte {
 	filled := 0
@@ -146,6 +156,7 @@
 	re.Evaluator = rd.uvarint() != 0
 	re.Share = math.Float64frombits(rd.uvarint())
 	re.SentOld, re.SentNew = rd.count32(), rd.count32()
+	re.CrashedOld, re.CrashedNew = rd.strings(), rd.strings()
 	rows := rd.listLength()
 	for ix := 0; ix < rows && !rd.malformed; ix++ {
 		ro := rollout.Row{Route: rd.stringValue(), Endpoint: rd.stringValue()}
@@ -161,6 +172,15 @@
 	return instance, re, nil
 }
 
+// strings reads a list of strings.
+func (re *reader) strings() (list []string) {
+	length := re.listLength()
+	for ix := 0; ix < length && !re.malformed; ix++ {
+		list = append(list, re.stringValue())
+	}
+	return list
+}
+
 // latency reads the buckets of a histogram.
 func (re *reader) latency(into *[rollout.LatencyBuckets]uint32) {
 	filled := re.listLength()
--- a/internal/loadshare/rollout_test.go
+++ b/internal/loadshare/rollout_test.go
@@ -23,6 +23,9 @@
 			Age: time.Duration(rapid.Int64Range(0, maxCount).Draw(rt, "age")) * time.Microsecond, Verdict: rollout.State(rapid.IntRange(0, int(rollout.RolledBack)).Draw(rt, "verdict")),
 			Evaluator: rapid.Bool().Draw(rt, "evaluator"), Share: rapid.Float64Range(0, 1).Draw(rt, "share"), SentOld: rapid.Uint32().Draw(rt, "old"), SentNew: rapid.Uint32().Draw(rt, "new"),
 		}
+		if rapid.Bool().Draw(rt, "crashes") {
+			re.CrashedOld, re.CrashedNew = []string{"e1/1"}, []string{rapid.String().Draw(rt, "crashed"), "e2/1"}
+		}
 		for range rapid.IntRange(0, 3).Draw(rt, "rows") {
 			ro := rollout.Row{Route: rapid.String().Draw(rt, "route"), Endpoint: rapid.String().Draw(rt, "endpoint")}
 			ro.Totals.Answers, ro.Totals.Failures = rapid.Uint32().Draw(rt, "answers"), rapid.Uint32().Draw(rt, "failures")
--- a/internal/relay/orders.go
+++ b/internal/relay/orders.go
@@ -105,13 +105,26 @@
 		return
 	}
 	os.mu.Lock()
-	defer os.mu.Unlock()
-	if at > os.confirmed {
+	before := os.confirmed
+	if at > before {
 		os.confirmed = at
 		os.Registry.Confirmed(os.Clock.Now().Add(at - os.Boot.Now()))
 	}
+	news := at-before > staleTime && len(os.list) > 0
+	if news {
+		os.sequence++
+	}
+	list := os.at(os.Boot.Now())
+	os.mu.Unlock()
+	if news && os.OnChange != nil {
+		os.OnChange(list, list)
+	}
 }
 
+// staleTime is the time between two confirmations after which the later one is told at
+// once, since instances do not use what was not confirmed lately.
+const staleTime = 2 * time.Second
+
 // Has reports whether there is an order for a service.
 func (os *Orders) Has(service string) bool {
 	if os.count.Load() == 0 {
