gateway: a status that was not written is written again at once

The store lost the first write of each state: the second came 0.7 s later and the last one missed the budget (TestAnswersOfStoreLost). The registry offers a transition each 0.3 s; an offer that came during a pause was dropped. It now stays due for 0.4 s, and the pause applies only after a write that the store took or that failed.

--- a/internal/gateway/rollout.go
+++ b/internal/gateway/rollout.go
@@ -28,9 +28,12 @@
 const (
 	// rolloutInterval is the interval at which roll-outs are evaluated.
 	rolloutInterval = 100 * time.Millisecond
-	// statusPause is the pause after a write of a status, so that the store's change
-	// arrives before the next one.
+	// statusPause is the pause after a write of a status that succeeded, so that the
+	// store's change arrives before the next one, or that failed.
 	statusPause = 300 * time.Millisecond
+	// offerTime is the time for which a transition stays due. The registry repeats it
+	// sooner.
+	offerTime = 400 * time.Millisecond
 	// zoneTurn is how much later the evaluator of each further zone writes a status:
 	// by then it knows of the write of another one, unless that failed.
 	zoneTurn = 400 * time.Millisecond
@@ -60,6 +63,9 @@
 	// when each transition was first asked for.
 	seen map[rollout.Order]time.Time
 	due  map[rollout.Transition]time.Time
+	// offer is the transition that is due, offeredAt when the registry last said so.
+	offer     rollout.Transition
+	offeredAt time.Time
 	// writing is the result of the write in progress; nil if there is none.
 	writing     chan writeResult
 	pausedUntil time.Time
@@ -109,11 +115,14 @@
 			ro.mover.Vacate(en)
 		}
 	}
-	tr, wanted := ro.Next(ro.evaluates, ro.pending)
+	if tr, wanted := ro.Next(ro.evaluates, ro.pending); wanted {
+		ro.offer, ro.offeredAt = tr, ro.gw.Clock.Now()
+	}
 	if ro.exchange != nil {
 		ro.exchange.SendReports(ro.evaluators)
 	}
-	if ro.awaitsWrite() || !wanted || !ro.isTurn(tr) {
+	tr := ro.offer
+	if ro.awaitsWrite() || !ro.isDue(tr, list) || !ro.isTurn(tr) {
 		return
 	}
 	results := make(chan writeResult, 1)
@@ -124,6 +133,13 @@
 	}()
 }
 
+// isDue reports whether a transition was offered lately and its order did not change.
+func (ro *rollouts) isDue(tr rollout.Transition, list []rollout.Order) bool {
+	return ro.gw.Clock.Since(ro.offeredAt) < offerTime && slices.ContainsFunc(list, func(or rollout.Order) bool {
+		return or.Service == tr.Service && or.Target == tr.Target && or.Revision == tr.Revision && or.State != tr.State
+	})
+}
+
 // observe records when each stage of the orders began, and forgets those of others.
 func (ro *rollouts) observe(list []rollout.Order) {
 	now := ro.gw.Clock.Now()
@@ -146,7 +162,10 @@
 	}
 	select {
 	case re := <-ro.writing:
-		ro.writing, ro.pausedUntil = nil, ro.gw.Clock.Now().Add(statusPause)
+		ro.writing = nil
+		if re.err != nil || re.order.State == re.transition.State {
+			ro.pausedUntil = ro.gw.Clock.Now().Add(statusPause)
+		}
 		ro.finishWrite(re)
 	default:
 	}
