rollout: shares by evaluator, doubt decides when the time is over, one endpoint at full load

Cause (trace of a version that fails under load, 6 instances): a share that rose was taken over only after 1.5 s, and a share just over 1/6 was spread over two endpoints, so that none had an old one's load; evidence of 1:80 was left at the end of the wait and ignored. Ruled out: accepting one endpoint's evidence alone.

--- a/internal/rollout/exposure.go
+++ b/internal/rollout/exposure.go
@@ -5,6 +5,8 @@
 const (
 	// goal is the part of the allowed exposure that is planned for.
 	goal = 0.4
+	// doubtGoal is that part while there is some evidence against the target.
+	doubtGoal = 0.5
 	// maxShare bounds the share during the canary, so that there are old answers to
 	// compare with.
 	maxShare = 0.3
@@ -31,8 +33,8 @@
 // is kept for the last seconds before the decision, at a share that gives one endpoint
 // of the target the load of an old one: faults that come late or under load show then.
 // endpoints is the number of endpoints of the target.
-func (bo Bounds) plannedShare(le *ledger, age, budget, decision time.Duration, endpoints int) float64 {
-	base := bo.baseShare()
+func (bo Bounds) plannedShare(ro *rollout, age time.Duration, endpoints int) float64 {
+	le, base := ro.ledger, bo.baseShare()
 	if age < settleTime {
 		return base
 	}
@@ -41,8 +43,12 @@
 	if rate <= 0 {
 		return maxShare
 	}
-	expected := all + trafficFloor*rate*max(budget-age, 0).Seconds()
-	left := goal*(bo.Share*expected+float64(bo.Slack)) - float64(le.sentNew)
+	part, decision := goal, ro.decision()
+	if _, doubt := ro.judge.doubt(endpoints > 1); doubt && age > decision-doubtTime {
+		part, decision = doubtGoal, decision+doubtTime
+	}
+	expected := all + trafficFloor*rate*max(ro.order.Budget-age, 0).Seconds()
+	left := part*(bo.Share*expected+float64(bo.Slack)) - float64(le.sentNew)
 	even := left / (rate * max(decision-age, leastWatch).Seconds())
 	full := min(max(1/float64(max(endpoints, 1)), fullFactor*base), maxShare)
 	if even < full*fullTolerance {
--- a/internal/rollout/judge.go
+++ b/internal/rollout/judge.go
@@ -13,6 +13,9 @@
 	falseAlarm = 0.0005
 	// otherOdds is the evidence that is needed without the worst endpoint.
 	otherOdds = 30
+	// doubtOdds and doubtOthers are the evidence that delays the decision.
+	doubtOdds   = 60
+	doubtOthers = 2
 	// outlierOdds is the evidence from one endpoint beyond which others are tried.
 	outlierOdds = 100
 	// stepPeriod is the least time between two steps, longStep the time after which a
@@ -181,10 +184,10 @@
 	return ju.find(-math.Log(falseAlarm), math.Log(otherOdds), several)
 }
 
-// doubt reports whether there is some evidence against the target.
-func (ju *judge) doubt(several bool) bool {
-	_, found := ju.find(-math.Log(falseAlarm)/2, 0, several)
-	return found
+// doubt reports whether there is some evidence against the target. It counts as a
+// verdict if it is left when the decision can't wait any longer.
+func (ju *judge) doubt(several bool) (string, bool) {
+	return ju.find(math.Log(doubtOdds), math.Log(doubtOthers), several)
 }
 
 // find returns the first comparison whose evidence reaches the limits.
--- a/internal/rollout/publish.go
+++ b/internal/rollout/publish.go
@@ -15,6 +15,10 @@
 // as those that it has replaced. Versions that appear later are plain releases.
 const retirePeriod = 5 * time.Second
 
+// pickTolerance is the part of an old endpoint's load that an endpoint of the target may
+// get beyond it.
+const pickTolerance = 0.2
+
 // publish makes what is known visible to the request path. The caller must hold mu.
 func (re *Registry) publish(now time.Time) {
 	vi := &view{rules: make(map[string]*rule, len(re.services))}
@@ -112,7 +116,7 @@
 			}
 		}
 	}
-	ru.picks = max(int(math.Ceil(ru.share*float64(len(se.ranked)))), 1)
+	ru.picks = max(int(math.Ceil(ru.share*float64(len(se.ranked))-pickTolerance)), 1)
 }
 
 // rankedIDs returns the IDs of endpoints in the order of a hash.
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -22,21 +22,27 @@
 	halted bool
 	ledger *ledger
 	judge  judge
-	// share is the evaluator's, pending the number of runs at old endpoints.
-	share   float64
-	shareAt time.Time
+	// shares are what evaluators have told; more than one may evaluate for a while.
+	shares map[string]toldShare
+	// pending is the number of runs at old endpoints.
 	pending int
 	// offered is the last transition that Next has returned, offeredAt when.
 	offered   Transition
 	offeredAt time.Time
 }
 
+// toldShare is the share that an evaluator has told, and when.
+type toldShare struct {
+	share float64
+	at    time.Time
+}
+
 func (re *Registry) newRollout(or Order, now time.Time) *rollout {
 	if re.boot == 0 {
 		re.boot = uint64(now.UnixNano())
 	}
 	return &rollout{
-		order: or, origin: now.Add(-or.Age), stateAt: now,
+		order: or, origin: now.Add(-or.Age), stateAt: now, shares: make(map[string]toldShare),
 		ledger: newLedger(Report{Service: or.Service, Target: or.Target, Boot: re.boot}),
 	}
 }
@@ -70,7 +76,7 @@
 		return false
 	}
 	if rep.Evaluator && rep.Verdict != RolledBack {
-		ro.learnShare(rep.Share, now)
+		ro.shares[instance] = toldShare{rep.Share, now}
 	}
 	if rep.Verdict == RolledBack && !ro.bad && ro.state != Completed {
 		ro.condemn("told by "+instance, log)
@@ -79,13 +85,6 @@
 	return false
 }
 
-// learnShare takes the share of an evaluator. If two evaluate, the lower one counts.
-func (ro *rollout) learnShare(share float64, now time.Time) {
-	if share <= ro.share || now.Sub(ro.shareAt) > shareLifetime/2 {
-		ro.share, ro.shareAt = share, now
-	}
-}
-
 // condemn records that the target is bad.
 func (ro *rollout) condemn(reason string, log zerolog.Logger) {
 	ro.bad, ro.reason = true, reason
@@ -100,8 +99,14 @@
 		part := min(1, now.Sub(ro.stateAt).Seconds()/rampTime.Seconds())
 		return firstStep + (1-firstStep)*part*part
 	}
-	if now.Sub(ro.shareAt) > shareLifetime {
+	least, found := maxShare, false
+	for _, ts := range ro.shares {
+		if now.Sub(ts.at) <= shareLifetime {
+			least, found = min(least, ts.share), true
+		}
+	}
+	if !found {
 		return bo.baseShare()
 	}
-	return ro.share
+	return least
 }
--- a/internal/rollout/stage.go
+++ b/internal/rollout/stage.go
@@ -78,7 +78,11 @@
 		le.own.Evaluator, le.unsent = evaluates, true
 	}
 	running := len(se.running(ro.order.Target))
-	if reason, bad := ro.judge.verdict(running > 1); bad && !ro.bad && ro.state != Pending {
+	reason, bad := ro.judge.verdict(running > 1)
+	if !bad && ro.state == Canary && ro.age(now) >= ro.decision()+doubtTime {
+		reason, bad = ro.judge.doubt(running > 1)
+	}
+	if bad && !ro.bad && ro.state != Pending {
 		if !ro.halted {
 			ro.halted = true
 			re.Log.Info().Str("event", "rollout_halted").Str("service", se.name).Str("target", ro.order.Target).Str("reason", reason).Msg("rollout: this instance sends the version no more requests")
@@ -87,13 +91,14 @@
 			ro.condemn(reason, re.Log)
 		}
 	}
-	if evaluates && !ro.bad {
-		share := re.Bounds.plannedShare(le, ro.age(now), ro.order.Budget, ro.decision(), running)
-		if share != le.own.Share {
-			le.own.Share, le.unsent = share, true
-		}
-		ro.learnShare(share, now)
+	if !evaluates || ro.bad {
+		delete(ro.shares, re.Instance)
+		return
+	}
+	if share := re.Bounds.plannedShare(ro, ro.age(now), running); share != le.own.Share {
+		le.own.Share, le.unsent = share, true
 	}
+	ro.shares[re.Instance] = toldShare{le.own.Share, now}
 }
 
 // margin is the time before the end of the budget by which the last status is written.
@@ -162,7 +167,7 @@
 	ro := se.rollout
 	late := age >= ro.order.Budget-ro.margin()
 	wait := ro.decision()
-	if ro.judge.doubt(len(se.running(ro.order.Target)) > 1) {
+	if _, doubt := ro.judge.doubt(len(se.running(ro.order.Target)) > 1); doubt {
 		wait += doubtTime
 	}
 	switch enough := ro.ledger.targetAnswers() >= leastAnswers || re.Bounds.fits(ro.ledger, age, ro.order.Budget); {
