rollout: evidence without the worst endpoint is summed; crashes go by endpoints

Cause: a slow version was completed although one endpoint's evidence stood at 12.6, since the other endpoints' was divided among two routes; and two crashes of new endpoints counted as two bad answers among few. Ruled out: more evidence from one endpoint.

--- a/internal/rollout/comparison.go
+++ b/internal/rollout/comparison.go
@@ -42,18 +42,12 @@
 	co.full.add(cs.old, all.answers, cs.oldBad+all.bad, all.bad)
 }
 
-// reaches reports whether the evidence reaches a limit, and if the target has several
-// endpoints, another limit without any one of them.
-func (co *comparison) reaches(limit, others float64, several bool) bool {
-	if co.full.value() < limit {
-		return false
+// valueWithout returns the evidence without the answers of an endpoint.
+func (co *comparison) valueWithout(id string) float64 {
+	if ev, found := co.without[id]; found {
+		return ev.value()
 	}
-	for _, ev := range co.without {
-		if several && ev.value() < others {
-			return false
-		}
-	}
-	return true
+	return co.full.value()
 }
 
 // outliers adds the endpoints that contribute more than a limit.
--- a/internal/rollout/judge.go
+++ b/internal/rollout/judge.go
@@ -17,7 +17,7 @@
 	doubtOdds   = 60
 	doubtOthers = 2
 	// outlierOdds is the evidence from one endpoint beyond which others are tried.
-	outlierOdds = 100
+	outlierOdds = 25
 	// stepPeriod is the least time between two steps, longStep the time after which a
 	// step ends although the old version gave fewer than stepAnswers answers.
 	stepPeriod  = 250 * time.Millisecond
@@ -37,10 +37,10 @@
 type judge struct {
 	routes  map[string]*routeJudge
 	crashes comparison
-	// crashed and sent are what the comparison of crashes has counted.
-	crashedOld, sentOld, sentNew int
-	crashedNew                   map[string]bool
-	crashAt                      time.Time
+	// crashedOld and crashedNew are what the comparison of crashes has counted.
+	crashedOld int
+	crashedNew map[string]bool
+	crashAt    time.Time
 }
 
 // routeJudge judges one route.
@@ -66,7 +66,6 @@
 		}
 		rj.step(rt, now, moving)
 	}
-	ju.stepCrashes(le, now)
 }
 
 func (rj *routeJudge) step(rt *routeTotals, now time.Time, moving bool) {
@@ -154,14 +153,15 @@
 }
 
 // stepCrashes compares the crashes of endpoint processes, each counted once, by the
-// requests that either version got.
-func (ju *judge) stepCrashes(le *ledger, now time.Time) {
+// numbers of endpoints. Endpoints that crash by themselves do so whatever they are sent.
+func (ju *judge) stepCrashes(le *ledger, now time.Time, olds, targets int) {
 	if now.Sub(ju.crashAt) < longStep {
 		return
 	}
 	ju.crashAt = now
-	cs := counts{old: le.sentOld - ju.sentOld, oldBad: len(le.crashOld) - ju.crashedOld, targets: make(map[string]part)}
-	cs.old = max(cs.old, cs.oldBad)
+	crashed := len(le.crashOld) - ju.crashedOld
+	cs := counts{old: olds + crashed, oldBad: crashed, targets: make(map[string]part)}
+	ju.crashedOld = len(le.crashOld)
 	for process := range le.crashNew {
 		if !ju.crashedNew[process] {
 			if ju.crashedNew == nil {
@@ -171,10 +171,7 @@
 			cs.targets[process] = part{1, 1}
 		}
 	}
-	if rest := le.sentNew - ju.sentNew - len(cs.targets); rest > 0 {
-		cs.targets[otherEndpoints] = part{rest, 0}
-	}
-	ju.sentOld, ju.sentNew, ju.crashedOld = le.sentOld, le.sentNew, len(le.crashOld)
+	cs.targets[otherEndpoints] = part{targets, 0}
 	ju.crashes.step(cs)
 }
 
@@ -190,29 +187,67 @@
 	return ju.find(math.Log(doubtOdds), math.Log(doubtOthers), several)
 }
 
-// find returns the first comparison whose evidence reaches the limits.
+// find returns the first comparison whose evidence reaches a limit, if there is
+// evidence without any one endpoint, too.
 func (ju *judge) find(limit, others float64, several bool) (string, bool) {
+	reason, found := ju.strongest(limit)
+	if !found || several && ju.withoutAny() < others {
+		return "", false
+	}
+	return reason, true
+}
+
+// strongest returns the first comparison whose evidence reaches a limit.
+func (ju *judge) strongest(limit float64) (string, bool) {
 	for _, route := range slices.Sorted(maps.Keys(ju.routes)) {
 		rj := ju.routes[route]
-		if rj.fail.reaches(limit, others, several) {
+		if rj.fail.full.value() >= limit {
 			return "failures on " + route, true
 		}
-		if rj.slow.reaches(limit, others, several) {
+		if rj.slow.full.value() >= limit {
 			return "slow answers on " + route, true
 		}
 	}
-	if ju.crashes.reaches(limit, others, several) {
+	if ju.crashes.full.value() >= limit {
 		return "crashes", true
 	}
 	return "", false
 }
 
+// withoutAny returns the evidence, of all comparisons together, that is left without the
+// endpoint that contributes most.
+func (ju *judge) withoutAny() float64 {
+	left := make(map[string]float64)
+	list := ju.comparisons()
+	for _, co := range list {
+		for id := range co.without {
+			left[id] = 0
+		}
+	}
+	least := math.Inf(1)
+	for id := range left {
+		sum := 0.0
+		for _, co := range list {
+			sum += max(co.valueWithout(id), 0)
+		}
+		least = min(least, sum)
+	}
+	return least
+}
+
+func (ju *judge) comparisons() []*comparison {
+	list := []*comparison{&ju.crashes}
+	for _, rj := range ju.routes {
+		list = append(list, &rj.fail, &rj.slow)
+	}
+	return list
+}
+
 // outliers returns the endpoints of the target that look worse than the others.
 func (ju *judge) outliers() map[string]bool {
 	set := make(map[string]bool)
-	for _, rj := range ju.routes {
-		rj.fail.outliers(set, math.Log(outlierOdds))
-		rj.slow.outliers(set, math.Log(outlierOdds))
+	for _, co := range ju.comparisons() {
+		co.outliers(set, math.Log(outlierOdds))
 	}
 	return set
 }
--- a/internal/rollout/stage.go
+++ b/internal/rollout/stage.go
@@ -77,9 +77,15 @@
 	if le.own.Evaluator != evaluates {
 		le.own.Evaluator, le.unsent = evaluates, true
 	}
-	running := len(se.running(ro.order.Target))
+	running, all := len(se.running(ro.order.Target)), 0
+	for _, en := range se.endpoints {
+		if !en.Leaving {
+			all++
+		}
+	}
+	ro.judge.stepCrashes(ro.ledger, now, all-running, running)
 	reason, bad := ro.judge.verdict(running > 1)
-	if !bad && ro.state == Canary && ro.age(now) >= ro.decision()+doubtTime {
+	if !bad && ro.lastChance(ro.age(now)) {
 		reason, bad = ro.judge.doubt(running > 1)
 	}
 	if bad && !ro.bad && ro.state != Pending {
@@ -101,6 +107,12 @@
 	ro.shares[re.Instance] = toldShare{le.own.Share, now}
 }
 
+// lastChance reports whether the target would be promoted or completed now. Evidence
+// that has only delayed the decision then decides.
+func (ro *rollout) lastChance(age time.Duration) bool {
+	return ro.state == Canary && age >= ro.decision()+doubtTime || ro.state == Promoting && age >= ro.order.Budget-ro.margin()
+}
+
 // margin is the time before the end of the budget by which the last status is written.
 func (ro *rollout) margin() time.Duration {
 	return min(max(time.Duration(float64(ro.order.Budget)*marginPart), leastMargin), mostMargin)
