--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"filbertstall.example/filbertstall/internal/loadshare"
+	"filbertstall.example/filbertstall/internal/rollout"
 )
 
 // Settings are the values that an instance needs before it can reach the store.
@@ -46,6 +47,8 @@
 	// SlowCallers is set if callers may read streams more slowly than endpoints send
 	// them. Streams are then read ahead (package readahead).
 	SlowCallers bool
+	// Rollout has the rules of roll-outs. A zero Share means that operators order none.
+	Rollout rollout.Bounds
 }
 
 // needsRestart reports whether settings differ that Gateway.Reload does not apply.
