outlier: set endpoints aside whose requests fail; leave a zone that restarts

Cause: an engine that fails at once looks idle and draws the next requests. An instance sends an engine one request in 70 s, so that no instance's own failure score can help.

A doubted engine costs 500 ms for a second; one that failed three times in a row at two instances is set aside for 0.5 s, doubling to 8 s, and probed by about one instance, then two, four ... The first success ends it. Two endpoints of one zone that refuse connections within a second, with no success between, let the next attempts go to other zones; the own zone is no exception. A run that goes on from its standby copy counts as lost by its engine, not as done.

--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -104,6 +104,7 @@
 func (di *Dispatcher) openSession(ctx context.Context, cancel context.CancelFunc, ta *task, de destination, re result) *session {
 	en := de.endpoint
 	re.ticket.Started()
+	re.ticket.Answered()
 	di.Log.Info().Str("event", "first_event").Str("request", ta.ID).Str("endpoint", en.ID).Dur("took", di.Clock.Since(ta.Arrived)).Msg("dispatch: stream started")
 	se := &session{di: di, ta: ta, ctx: ctx, cancel: cancel, destination: de, answer: re.answer, ticket: re.ticket, beganAt: di.Clock.Now()}
 	if ta.service.Engine != nil && ta.service.Engine.Migrates && di.Runs != nil {
@@ -259,7 +260,7 @@
 		return
 	}
 	se.moves++
-	se.ticket.End(placement.Done)
+	se.ticket.End(outcomeOfMove(mv))
 	if err := se.resume(mv); err != nil {
 		mv.Ticket.End(placement.Lost)
 		se.fail(errors.Join(err, cause))
@@ -283,6 +284,15 @@
 	return mv, found
 }
 
+// outcomeOfMove returns the outcome of the attempt that a run leaves: its engine has lost
+// the run if it goes on from its standby copy.
+func outcomeOfMove(mv migration.Moved) placement.Outcome {
+	if mv.From.ID == mv.Target.ID {
+		return placement.Lost
+	}
+	return placement.Done
+}
+
 // maxResumeWait is the longest pause of a stream that waits for the rate limit of
 // the engine where it continues. Callers abandon a stream that pauses for longer.
 const maxResumeWait = 1800 * time.Millisecond
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -26,6 +26,7 @@
 	"filbertstall.example/filbertstall/internal/loadshare"
 	"filbertstall.example/filbertstall/internal/metric"
 	"filbertstall.example/filbertstall/internal/migration"
+	"filbertstall.example/filbertstall/internal/outlier"
 	"filbertstall.example/filbertstall/internal/peer"
 	"filbertstall.example/filbertstall/internal/placement"
 	"filbertstall.example/filbertstall/internal/ratelimit"
@@ -114,6 +115,7 @@
 	// suspectLimiter paces requests with features that may crash endpoints.
 	suspectLimiter ratelimit.Limiter
 	paths          reachability.Tracker
+	outliers       outlier.Detector
 	forwardPool    upstream.Pool
 	ingress        ingress.Server
 	// forwards serves the requests that other instances forward.
@@ -194,6 +196,7 @@
 	gw.moveOrder = loadshare.MoveOrder{Instance: se.Instance, Changes: gw.tracker.Changes}
 	gw.pool = upstream.Pool{IDHeader: gw.Adapter.IDHeader, Clock: gw.Clock, Dial: gw.Dial}
 	gw.buildGate(se.member())
+	gw.buildOutliers()
 	engines := gw.Adapter.Engines(&gw.gate)
 	mover := &migration.Mover{Engines: engines, Roster: &gw.roster, Tracker: &gw.tracker, Clock: gw.Clock, Log: gw.Log, MoveOrder: &gw.moveOrder}
 	gw.roster = roster.Roster{Clock: gw.Clock, Log: gw.Log, OnLeave: mover.Evacuate, OnChange: gw.relay.Observe}
--- a/internal/gateway/share.go
+++ b/internal/gateway/share.go
@@ -21,7 +21,7 @@
 	self := se.member()
 	exchange := &loadshare.Exchange{
 		Conn: li.peers, Instance: se.Instance, Zone: se.Zone, Tracker: &gw.tracker, Members: &gw.members, MoveOrder: &gw.moveOrder, Clock: gw.Clock, Log: gw.Log,
-		Statements: &gw.signals, Suspects: gw.suspects, Paths: &gw.paths, Heard: gw.peers.Heard,
+		Statements: &gw.signals, Suspects: gw.suspects, Paths: &gw.paths, Outliers: &gw.outliers, Heard: gw.peers.Heard,
 	}
 	peers := &peer.Server{Listener: li.calls}
 	err := errors.Join(
--- a/internal/gateway/signals.go
+++ b/internal/gateway/signals.go
@@ -36,6 +36,7 @@
 	gw.tracker.Forget(known)
 	gw.signals.Forget(known)
 	gw.limiter.Forget(known)
+	gw.outliers.Forget(known)
 	gw.allocator.Prune()
 	gw.slots.Prune()
 	if !gw.suspects.HasSuspects() {
--- a/internal/loadshare/exchange.go
+++ b/internal/loadshare/exchange.go
@@ -57,6 +57,9 @@
 	// Paths supplies the services whose endpoints this instance cannot reach, and
 	// receives those of others. Nil exchanges none.
 	Paths Paths
+	// Outliers supplies the failures that this instance saw at endpoints, and receives
+	// those that others saw. Nil exchanges none.
+	Outliers Outliers
 	// Heard is called with the name of the sender of each message. It may be nil.
 	Heard func(instance string)
 	Clock clockwork.Clock
@@ -115,6 +118,7 @@
 		ex.sendStatements(due)
 		ex.sendSuspects(due)
 		ex.sendPaths(due)
+		ex.sendOutliers(due)
 		sameZone, otherZones := ex.Members.recipients(ex.Instance, ex.Zone)
 		moves, unsent := ex.MoveOrder.announced()
 		// A message with changed announcements goes to other zones at once. Other
@@ -193,6 +197,8 @@
 		ex.applySuspects(data)
 	case isPaths(data):
 		ex.applyPaths(data)
+	case isOutliers(data):
+		ex.applyOutliers(data)
 	default:
 		ex.applyLoads(data)
 	}
--- /dev/null
+++ b/internal/outlier/doc.go
@@ -0,0 +1,27 @@
+// Package outlier sets endpoints aside whose requests fail while those of other
+// endpoints of the same service succeed.
+//
+// Each instance sees few requests to one endpoint. So the instances tell each other the
+// times of failures and of later successes at endpoint processes that fail, and each
+// judges by all of them: several failures in a row, or more failures than successes. A
+// process that is set aside gets a probe after some time, which doubles with each failed
+// one. A hash tells which instances may send the first probes; their number doubles
+// until all may. The first success ends the ejection everywhere.
+//
+// A judgement rests on the reports of several instances, or on what this instance saw
+// itself. Reports from other zones count only if instances of two zones agree, because
+// one zone may have lost its links. An instance that fails at many endpoints says
+// something about itself and is left out. If too many endpoints of a service or a zone
+// fail, none of them is set aside: the cause is elsewhere.
+//
+// What is known of a process is forgotten when it restarts, since a restarted process is
+// another one.
+//
+// # Usage
+//
+//	de := &outlier.Detector{Instance: "edge-1", Zone: "a", Roster: ro, Instances: count, Clock: clock, Log: log}
+//	de.Record(endpoint, placement.Lost)
+//	if de.Standing(endpoint) == placement.SetAside { ... }
+//	de.Merge("edge-2", "b", reports) // what another instance saw
+//	reports := de.Changed(true)      // what to tell others
+package outlier
--- a/internal/placement/load_tracker.go
+++ b/internal/placement/load_tracker.go
@@ -43,6 +43,10 @@
 	Changes chan struct{}
 	// Backpressure tells which endpoints take requests. If it is nil, all do.
 	Backpressure Backpressure
+	// Outliers tells which endpoints fail while others do not. Nil means none.
+	Outliers Outliers
+	// OnZoneFailing is called, with locks held, when a zone begins to fail. It may be nil.
+	OnZoneFailing func(FailingZone)
 
 	mu       sync.Mutex
 	accounts map[string]*account
@@ -52,6 +56,8 @@
 	remoteTotals map[string]Load
 	// zonePaths has the reachability of other zones, by zone.
 	zonePaths map[string]*zonePath
+	// zoneFailures has the failed connections to endpoints by zone.
+	zoneFailures zoneFailures
 }
 
 // Backpressure tells what endpoints said of the requests that they take.
@@ -194,7 +200,7 @@
 	if en.Zone != homeZone {
 		cost += dm.remoteZoneCost()
 	}
-	cost += zonePathCost * lt.zonePaths[en.Zone].failureScore(now)
+	cost += zonePathCost*lt.zonePaths[en.Zone].failureScore(now) + lt.riskCost(en, dm, now)
 	lo := lt.load(en.ID)
 	if dm.Engine == nil {
 		return cost + callCost*float64(lo.Running)/float64(max(en.Slots, 1)), true
--- a/internal/placement/standby.go
+++ b/internal/placement/standby.go
@@ -39,7 +39,7 @@
 	best, lowest := -1, math.Inf(1)
 	for ix, en := range list {
 		ac := lt.accounts[en.ID]
-		if en.ID == primary || !lt.accepts(en, true) || now.Before(en.ColdUntil) || ac != nil && now.Before(ac.backoffUntil) {
+		if en.ID == primary || !lt.accepts(en, true) || lt.isSetAside(en) || now.Before(en.ColdUntil) || ac != nil && now.Before(ac.backoffUntil) {
 			continue
 		}
 		fill := float64(lt.load(en.ID).ReservedTokens+dm.Prompt+dm.Output) / float64(dm.Engine.MemoryTokens)
--- a/internal/placement/ticket.go
+++ b/internal/placement/ticket.go
@@ -7,7 +7,7 @@
 type Ticket struct {
 	tracker        *LoadTracker
 	id             string
-	zone           string
+	endpoint       roster.Endpoint
 	prefillTokens  int
 	reservedTokens int
 	// engine is true if the endpoint is an engine.
@@ -16,6 +16,8 @@
 	// request.
 	memoryOnly bool
 	ended      bool
+	// answered is set once the endpoint is known to take requests.
+	answered bool
 	// onEnd is called by End. It may be nil.
 	onEnd func()
 }
@@ -27,7 +29,8 @@
 func (lt *LoadTracker) Begin(en roster.Endpoint, dm Demand) *Ticket {
 	lt.mu.Lock()
 	defer lt.mu.Unlock()
-	ti := &Ticket{tracker: lt, id: en.ID, zone: en.Zone}
+	ti := &Ticket{tracker: lt, id: en.ID, endpoint: en}
+	lt.began(en)
 	ac := lt.account(en.ID)
 	ac.inFlight++
 	if dm.Engine != nil {
@@ -78,5 +81,6 @@
 		ac.generations--
 	}
 	ac.recordOutcome(ou, ti.tracker.Clock.Now())
-	ti.tracker.recordZoneOutcome(ti.zone, ou)
+	ti.tracker.recordZoneOutcome(ti.endpoint.Zone, ou)
+	ti.recordEndpoint(ou)
 }
--- /dev/null
+++ b/internal/placement/zonefailure.go
@@ -0,0 +1,84 @@
+package placement
+
+import (
+	"time"
+
+	"filbertstall.example/filbertstall/internal/roster"
+)
+
+const (
+	// zoneFailingCost applies to all endpoints of a zone that is failing. It exceeds the
+	// cost of another zone for a long answer and of an exhausted engine together.
+	zoneFailingCost = 10_000.0
+	// failingEndpoints is the number of endpoints of one zone to which connections must
+	// fail within zoneFailurePeriod, without a success there, for the zone to be failing.
+	failingEndpoints = 2
+	// zoneFailurePeriod is the time for which a failed connection counts.
+	zoneFailurePeriod = time.Second
+)
+
+// FailingZone is a zone whose endpoints of one service can't be reached one after the
+// other.
+type FailingZone struct {
+	Service, Zone string
+	// Endpoints are those to which connections failed since the last success.
+	Endpoints int
+}
+
+// zoneFailures has the failed connections to endpoints by service and zone, the instance's
+// own zone included. Unlike zonePath it stands for the endpoints, not for the link, and
+// ends soon. The zero value is empty.
+type zoneFailures map[zoneKey]*zoneFailure
+
+type zoneKey struct{ service, zone string }
+
+// zoneFailure has the times of the newest failed connection to each endpoint since the
+// last success at any of them.
+type zoneFailure struct {
+	failedAt map[string]time.Time
+}
+
+// record records the outcome of an attempt. It returns true if the zone is failing from
+// now on.
+func (zf *zoneFailures) record(en roster.Endpoint, ou Outcome, now time.Time) (FailingZone, bool) {
+	key := zoneKey{en.Service, en.Zone}
+	switch ou {
+	case Unreachable:
+	case Done, Failed, Refused:
+		delete(*zf, key)
+		return FailingZone{}, false
+	default:
+		return FailingZone{}, false
+	}
+	if *zf == nil {
+		*zf = make(zoneFailures)
+	}
+	fa := (*zf)[key]
+	if fa == nil {
+		fa = &zoneFailure{failedAt: make(map[string]time.Time)}
+		(*zf)[key] = fa
+	}
+	before := fa.count(now)
+	fa.failedAt[en.ID] = now
+	count := fa.count(now)
+	return FailingZone{Service: en.Service, Zone: en.Zone, Endpoints: count}, before < failingEndpoints && count >= failingEndpoints
+}
+
+// count returns the number of endpoints that failed lately, and drops the others.
+func (fa *zoneFailure) count(now time.Time) int {
+	for id, at := range fa.failedAt {
+		if now.Sub(at) >= zoneFailurePeriod {
+			delete(fa.failedAt, id)
+		}
+	}
+	return len(fa.failedAt)
+}
+
+// cost returns what an endpoint costs more because its zone is failing.
+func (zf zoneFailures) cost(en roster.Endpoint, now time.Time) float64 {
+	fa := zf[zoneKey{en.Service, en.Zone}]
+	if fa == nil || fa.count(now) < failingEndpoints {
+		return 0
+	}
+	return zoneFailingCost
+}
