--- /dev/null
+++ b/internal/dispatch/outlier_test.go
@@ -0,0 +1,78 @@
+package dispatch
+
+import (
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"filbertstall.example/filbertstall/internal/feed"
+	"filbertstall.example/filbertstall/internal/placement"
+	"filbertstall.example/filbertstall/internal/roster"
+)
+
+// outcomes records what a tracker tells of endpoints.
+type outcomes struct{ list []string }
+
+func (*outcomes) Begin(roster.Endpoint) {}
+
+func (oc *outcomes) Record(en roster.Endpoint, ou placement.Outcome) {
+	oc.list = append(oc.list, en.ID+" "+strconv.Itoa(int(ou)))
+}
+
+func (*outcomes) Standing(roster.Endpoint) placement.Standing { return placement.Sound }
+
+// A stream is a success when it begins, once. Its end says nothing, unless it is broken.
+func TestOutcomesOfStreams(t *testing.T) {
+	g := NewWithT(t)
+	for complete, want := range map[bool][]string{
+		true:  {"e0 " + strconv.Itoa(int(placement.Done))},
+		false: {"e0 " + strconv.Itoa(int(placement.Done)), "e0 " + strconv.Itoa(int(placement.Lost))},
+	} {
+		ha := newHarness(t, events(1, 3, complete))
+		var oc outcomes
+		ha.Tracker.Outliers = &oc
+		_, err := readEvents(ha.send("/stream/x"))
+		g.Expect(err == nil).To(Equal(complete))
+		g.Expect(oc.list).To(Equal(want))
+	}
+}
+
+// A run that goes on from its standby copy is a failure of the engine that lost it.
+func TestOutcomesOfTakeover(t *testing.T) {
+	g := NewWithT(t)
+	ha := newHarness(t, crashes, crashes)
+	var oc outcomes
+	ha.Tracker.Outliers = &oc
+	rp := ha.Serve(t.Context(), ha.longRequest())
+	_, err := readEvents(rp)
+	g.Expect(err).NotTo(HaveOccurred())
+	first, second := "e0", "e1"
+	if oc.list[0][:len(first)] != first {
+		first, second = second, first
+	}
+	done, lost := " "+strconv.Itoa(int(placement.Done)), " "+strconv.Itoa(int(placement.Lost))
+	g.Expect(oc.list).To(Equal([]string{first + done, first + lost, second + done}))
+}
+
+// All engines of the instance's own zone restart: a request tries two of them and is then
+// served in another zone, within its four attempts.
+func TestZoneThatRestarts(t *testing.T) {
+	g := NewWithT(t)
+	const dead = 6
+	ha := newHarness(t, slices.Repeat([]func(net.Conn, *http.Request){succeeds}, dead)...)
+	for _, rp := range ha.replicas {
+		_ = rp.Close()
+	}
+	other := ha.addReplica("other", succeeds)
+	en := roster.Endpoint{ID: other.id, Service: "s", Zone: "b", Address: other.Addr().String(), Slots: 4}
+	ha.Roster.Apply([]feed.Change[roster.Endpoint]{{Object: feed.Object[roster.Endpoint]{Name: en.ID, Value: &en}}})
+	var oc outcomes
+	ha.Tracker.Outliers = &oc
+	rp := ha.send("/post/x")
+	g.Expect(rp.Status).To(Equal(http.StatusOK))
+	g.Expect(oc.list).To(HaveLen(3), "two in the own zone, one in the other")
+}
