--- a/internal/loadshare/exchange.go
+++ b/internal/loadshare/exchange.go
@@ -60,6 +60,9 @@
 	// Rollouts supplies the reports of roll-outs that SendReports sends, and receives
 	// those of others. Nil exchanges none.
 	Rollouts Rollouts
+	// Outliers supplies the failures that this instance saw at endpoints, and receives
+	// those that others saw. Nil exchanges none.
+	Outliers Outliers
 	// Heard is called with the name of the sender of each message. It may be nil.
 	Heard func(instance string)
 	Clock clockwork.Clock
@@ -120,6 +123,7 @@
 		ex.sendStatements(due)
 		ex.sendSuspects(due)
 		ex.sendPaths(due)
+		ex.sendOutliers(due)
 		sameZone, otherZones := ex.Members.recipients(ex.Instance, ex.Zone)
 		moves, unsent := ex.MoveOrder.announced()
 		// A message with changed announcements goes to other zones at once. Other
@@ -200,6 +204,8 @@
 		ex.applyPaths(data)
 	case isReport(data):
 		ex.applyReport(data)
+	case isOutliers(data):
+		ex.applyOutliers(data)
 	default:
 		ex.applyLoads(data)
 	}
--- a/internal/placement/load_tracker.go
+++ b/internal/placement/load_tracker.go
@@ -47,6 +47,10 @@
 	// there any more, so that calls of plain services there are reported, too. Nil
 	// means that none is.
 	Emptying func(id string) bool
+	// Outliers tells which endpoints fail while others do not. Nil means none.
+	Outliers Outliers
+	// OnZoneFailing is called, with locks held, when a zone begins to fail. It may be nil.
+	OnZoneFailing func(FailingZone)
 
 	mu       sync.Mutex
 	accounts map[string]*account
@@ -56,6 +60,8 @@
 	remoteTotals map[string]Load
 	// zonePaths has the reachability of other zones, by zone.
 	zonePaths map[string]*zonePath
+	// zoneFailures has the failed connections to endpoints by zone.
+	zoneFailures zoneFailures
 }
 
 // Backpressure tells what endpoints said of the requests that they take.
@@ -198,7 +204,7 @@
 	if en.Zone != homeZone {
 		cost += dm.remoteZoneCost()
 	}
-	cost += zonePathCost * lt.zonePaths[en.Zone].failureScore(now)
+	cost += zonePathCost*lt.zonePaths[en.Zone].failureScore(now) + lt.riskCost(en, dm, now)
 	lo := lt.load(en.ID)
 	if dm.Engine == nil {
 		return cost + callCost*float64(lo.Running)/float64(max(en.Slots, 1)), true
