placement: another module may decide which zones a request is sent to

Cause: whether a request leaves its zone was a fixed cost, judged by each instance for itself. LoadTracker gets an optional field Zones: it admits the request's own zone, zones that lend, or both, and names the margin by which a delay elsewhere must be shorter. Moves follow the KV cache as before.

Loads also have the running calls to plain services if Zones is set; they ride in datagrams that are sent anyway. They count for the load of a zone only: the cost of a plain endpoint rests on the instance's own calls as before, since a call of 15 ms is over before its load is told.

Ruled out: a second cost model beside Choose.

--- a/internal/placement/load_tracker.go
+++ b/internal/placement/load_tracker.go
@@ -27,6 +27,12 @@
 	// another. Empty means that no KV cache is copied and the zone of the instance
 	// counts.
 	Zone string
+	// Service and Request are the name of the service and the ID of the request. Zones
+	// decides only on demands that have them.
+	Service string
+	Request string
+	// margin is that of the request's Admission.
+	margin time.Duration
 }
 
 // LoadTracker tracks the load of endpoints and chooses among them. Set the
@@ -43,6 +49,9 @@
 	Changes chan struct{}
 	// Backpressure tells which endpoints take requests. If it is nil, all do.
 	Backpressure Backpressure
+	// Zones decides which zones requests may be sent to. If it is nil, other zones have
+	// a fixed extra cost, and running calls to plain services are not reported.
+	Zones Zones
 
 	mu       sync.Mutex
 	accounts map[string]*account
@@ -128,12 +137,9 @@
 	plannableMemoryShare = 0.9
 )
 
-// Choose returns the endpoint of lowest cost, leaving out those whose ID is in
-// exclude. It returns false if no endpoint is usable now.
-func (lt *LoadTracker) Choose(list []roster.Endpoint, dm Demand, exclude map[string]bool) (Choice, bool) {
-	now := lt.Clock.Now()
-	lt.mu.Lock()
-	defer lt.mu.Unlock()
+// choose returns the endpoint of lowest cost in all zones, leaving out those whose ID
+// is in exclude. The caller must hold mu.
+func (lt *LoadTracker) choose(list []roster.Endpoint, dm Demand, exclude map[string]bool, now time.Time) (Choice, bool) {
 	best, lowest := -1, math.Inf(1)
 	for ix, en := range list {
 		if exclude[en.ID] || !lt.accepts(en, dm.Zone != "") {
@@ -192,12 +198,12 @@
 		homeZone = dm.Zone
 	}
 	if en.Zone != homeZone {
-		cost += dm.remoteZoneCost()
+		cost += lt.remoteZoneCost(en, dm)
 	}
 	cost += zonePathCost * lt.zonePaths[en.Zone].failureScore(now)
 	lo := lt.load(en.ID)
 	if dm.Engine == nil {
-		return cost + callCost*float64(lo.Running)/float64(max(en.Slots, 1)), true
+		return cost + callCost*float64(ac.inFlight)/float64(max(en.Slots, 1)), true
 	}
 	return cost + engineCost(lo, dm), true
 }
@@ -239,7 +245,8 @@
 	return math.Exp2(-float64(age) / float64(halfLife))
 }
 
-// Loads returns the load that this instance places on engines, by endpoint.
+// Loads returns the load that this instance places on endpoints. Plain services are left
+// out if Zones is nil.
 func (lt *LoadTracker) Loads() map[string]Load {
 	lt.mu.Lock()
 	defer lt.mu.Unlock()
@@ -247,6 +254,8 @@
 	for id, ac := range lt.accounts {
 		if ac.generations > 0 || ac.reservedTokens > 0 {
 			loads[id] = Load{Running: ac.generations, PrefillTokens: ac.prefillTokens, ReservedTokens: ac.reservedTokens}
+		} else if lt.Zones != nil && ac.inFlight > 0 {
+			loads[id] = Load{Running: ac.inFlight}
 		}
 	}
 	return loads
--- a/internal/placement/ticket.go
+++ b/internal/placement/ticket.go
@@ -28,6 +28,7 @@
 	lt.mu.Lock()
 	defer lt.mu.Unlock()
 	ti := &Ticket{tracker: lt, id: en.ID, zone: en.Zone}
+	lt.countSent(en)
 	ac := lt.account(en.ID)
 	ac.inFlight++
 	if dm.Engine != nil {
