--- a/internal/routing/match.go
+++ b/internal/routing/match.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -73,6 +74,25 @@
 	return se, found
 }
 
+// Objectives returns the shortest objective of the routes to each service; zero if
+// none of them has one.
+func (cf *Configuration) Objectives() map[string]time.Duration {
+	shortest := make(map[string]time.Duration, len(cf.services))
+	for name := range cf.services {
+		shortest[name] = 0
+	}
+	for _, list := range cf.routes {
+		for _, ro := range list {
+			for _, sh := range ro.Shares {
+				if old := shortest[sh.Service]; ro.Objective > 0 && (old == 0 || ro.Objective < old) {
+					shortest[sh.Service] = ro.Objective
+				}
+			}
+		}
+	}
+	return shortest
+}
+
 // Source returns the serialized configuration. The caller must not change it.
 func (cf *Configuration) Source() []byte { return cf.source }
 
