gateway: requests stay in their zone unless leaving pays

The gateway sets placement.LoadTracker.Zones where the settings list more than one zone; the dispatcher tells service and ID of a request.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -218,7 +218,10 @@
 
 // demand describes the load that a task puts on an endpoint.
 func (di *Dispatcher) demand(ta *task) placement.Demand {
-	return placement.Demand{Engine: ta.service.Engine, Prompt: ta.Prompt.Tokens, Output: di.outputEstimator.estimate(ta.route.Name, ta.Prompt)}
+	return placement.Demand{
+		Engine: ta.service.Engine, Prompt: ta.Prompt.Tokens, Output: di.outputEstimator.estimate(ta.route.Name, ta.Prompt),
+		Service: ta.service.Name, Request: ta.ID,
+	}
 }
 
 // logPlacement logs the choice of an engine for a generation. Requests to
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -191,6 +191,7 @@
 	gw.settings.Store(&se)
 	gw.state = routing.State{Clock: gw.Boot}
 	gw.tracker = placement.LoadTracker{Clock: gw.Clock, Zone: se.Zone, Instance: se.Instance, Changes: make(chan struct{}, 1)}
+	zones := gw.buildSpillover()
 	gw.moveOrder = loadshare.MoveOrder{Instance: se.Instance, Changes: gw.tracker.Changes}
 	gw.pool = upstream.Pool{IDHeader: gw.Adapter.IDHeader, Clock: gw.Clock, Dial: gw.Dial}
 	gw.buildGate(se.member())
@@ -214,6 +215,7 @@
 		&healthcheck.Checker{Engines: engines, Runs: mover.Endpoints, StoreStale: gw.engineStatesStale, Leave: gw.roster.Leave, Clock: gw.Clock, Log: gw.Log},
 		&auxiliaryServer{name: "readiness", listener: li.readiness, handler: gw.serveReady},
 	}
+	controllers = append(controllers, zones...)
 	if li.metrics != nil {
 		metrics := fasthttpadaptor.NewFastHTTPHandler(gw.metrics.Handler)
 		controllers = append(controllers, &auxiliaryServer{name: "metrics", listener: li.metrics, handler: metrics})
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -13,6 +13,9 @@
 	// Instance is the instance's name.
 	Instance string
 	Zone     string
+	// ZoneCount is the number of availability zones of the deployment. With more than
+	// one, package spillover decides which requests leave their zone.
+	ZoneCount int
 	// Callers, Readiness and Metrics are the addresses to listen on. If Metrics
 	// is empty, metrics are not served.
 	Callers   string
