spillover: a first endpoint is no return; single errors of a service don't count

A zone that had no sound endpoint yet begins at a share of 0, an endpoint counts as failing from a score of 0.75 on (one lost request, three errors in short order), and shares below a tenth are not logged.

TestColdReturn now lets the zone have endpoints first; before, it began without.

--- a/internal/placement/locality.go
+++ b/internal/placement/locality.go
@@ -51,7 +51,7 @@
 
 const (
 	// unsoundScore is the failure score from which an endpoint does not count as sound.
-	unsoundScore = 0.5
+	unsoundScore = 0.75
 	// lostPathScore is the failure score of the path to a zone from which the zone does
 	// not count as reachable.
 	lostPathScore = 0.5
--- a/internal/spillover/controller.go
+++ b/internal/spillover/controller.go
@@ -22,8 +22,10 @@
 	evaluationInterval = 100 * time.Millisecond
 	// demandWeight is the weight of one request in the means of a service's demands.
 	demandWeight = 0.05
-	// loggedChange is the change of a share from which it is logged again.
+	// loggedChange is the change of a share from which it is logged again, and
+	// leastLogged the share from which it is logged at all.
 	loggedChange = 0.25
+	leastLogged  = 0.1
 )
 
 // Service describes a service that the configuration has.
@@ -152,8 +154,8 @@
 	if co.Scope != nil {
 		co.Scope.Tagged(map[string]string{"service": name}).Gauge("spillover_share").Update(zo.share)
 	}
-	begins := (zo.share == 0) != (sv.loggedShare == 0)
-	if !begins && math.Abs(zo.share-sv.loggedShare) < loggedChange {
+	begins, ends := sv.loggedShare == 0 && zo.share >= leastLogged, sv.loggedShare > 0 && zo.share == 0
+	if !zo.known || !begins && !ends && math.Abs(zo.share-sv.loggedShare) < loggedChange {
 		return
 	}
 	ev := co.Log.Info().Str("event", "spillover_share").Str("service", name).Str("zone", co.Zone).Float64("share", zo.share).Float64("before", sv.loggedShare).
--- a/internal/spillover/pattern_test.go
+++ b/internal/spillover/pattern_test.go
@@ -113,6 +113,7 @@
 func TestColdReturn(t *testing.T) {
 	forFleets(t, func(g *WithT, newFleet func() *fleet, each float64) {
 		fl := newFleet()
+		fl.play(time.Second, each, each, each)
 		fl.down["a"] = true
 		fl.play(3*time.Second, each, each, each)
 		delete(fl.down, "a")
--- a/internal/spillover/share.go
+++ b/internal/spillover/share.go
@@ -39,6 +39,8 @@
 	share float64
 	// spilling is set while the zone's wait is too long.
 	spilling bool
+	// known is set once the zone has had a sound endpoint.
+	known bool
 	// absent is set while the zone has no sound endpoint. returning is set from then on
 	// until all requests have returned.
 	absent, returning bool
@@ -168,6 +170,10 @@
 		zo.share, zo.returning, zo.spilling = 1, true, false
 		return
 	}
+	if !zo.known {
+		// Its first endpoints: there is nothing to return from.
+		zo.known, zo.share, zo.returning = true, 0, false
+	}
 	excess := sv.excess(zo)
 	switch {
 	case len(zo.lenders) == 0 || excess < sv.part(leaveShare):
