--- a/internal/placement/ticket.go
+++ b/internal/placement/ticket.go
@@ -31,6 +31,7 @@
 	defer lt.mu.Unlock()
 	ti := &Ticket{tracker: lt, id: en.ID, endpoint: en}
 	lt.began(en)
+	lt.countSent(en)
 	ac := lt.account(en.ID)
 	ac.inFlight++
 	if dm.Engine != nil {
