--- a/internal/rollout/fleet_test.go
+++ b/internal/rollout/fleet_test.go
@@ -283,12 +283,13 @@
 	if !kd.bad || kd.later && fl.age() < fl.badFrom || kd.route != "" && kd.route != sa.Route || fl.loads[at] < kd.load*mean {
 		return
 	}
-	if fl.rng.Float64() < kd.fails {
+	switch {
+	case fl.rng.Float64() < kd.fails:
 		sa.Failed = true
 		sa.Latency /= 4
-	} else if fl.rng.Float64() < kd.slows {
+	case fl.rng.Float64() < kd.slows:
 		sa.Latency *= 4
-	} else {
+	default:
 		return
 	}
 	if fl.out.badAnswers++; fl.out.badAnswers == 50 {
--- a/internal/rollout/publish.go
+++ b/internal/rollout/publish.go
@@ -7,8 +7,6 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-
-	"filbertstall.example/filbertstall/internal/roster"
 )
 
 // retirePeriod is the time from the completion of an order in which other versions count
@@ -85,7 +83,7 @@
 // retire takes the versions out of use that a completed order has replaced, as long as
 // there is an endpoint of its target.
 func (se *service) retire(ru *rule, ro *rollout) {
-	if len(se.running(ru.target)) == 0 {
+	if count, _ := se.running(ru.target); count == 0 {
 		return
 	}
 	ru.retired = make(map[string]bool)
@@ -105,7 +103,7 @@
 		return
 	}
 	if se.ranked == nil {
-		se.ranked = rankedIDs(se.running(ru.target))
+		se.ranked = se.rankedIDs(ru.target)
 	}
 	outliers := ro.judge.outliers()
 	ru.rank = make(map[string]int, len(se.ranked))
@@ -119,11 +117,14 @@
 	ru.picks = max(int(math.Ceil(ru.share*float64(len(se.ranked))-pickTolerance)), 1)
 }
 
-// rankedIDs returns the IDs of endpoints in the order of a hash.
-func rankedIDs(list []roster.Endpoint) []string {
-	ids := make([]string, 0, len(list))
-	for _, en := range list {
-		ids = append(ids, en.ID)
+// rankedIDs returns the IDs of the endpoints of a version that do not leave, in the order
+// of a hash.
+func (se *service) rankedIDs(version string) []string {
+	ids := make([]string, 0, len(se.endpoints))
+	for ix := range se.endpoints {
+		if en := &se.endpoints[ix]; en.Version == version && !en.Leaving {
+			ids = append(ids, en.ID)
+		}
 	}
 	slices.SortFunc(ids, func(a, b string) int {
 		return cmp.Or(cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b)), cmp.Compare(a, b))
@@ -131,13 +132,16 @@
 	return ids
 }
 
-// running returns the endpoints of a version that do not leave.
-func (se *service) running(version string) []roster.Endpoint {
-	var list []roster.Endpoint
-	for _, en := range se.endpoints {
-		if en.Version == version && !en.Leaving {
-			list = append(list, en)
+// running returns the numbers of endpoints of a version and of others that do not leave.
+func (se *service) running(version string) (count, others int) {
+	for ix := range se.endpoints {
+		switch en := &se.endpoints[ix]; {
+		case en.Leaving:
+		case en.Version == version:
+			count++
+		default:
+			others++
 		}
 	}
-	return list
+	return count, others
 }
--- a/internal/rollout/stage.go
+++ b/internal/rollout/stage.go
@@ -77,13 +77,8 @@
 	if le.own.Evaluator != evaluates {
 		le.own.Evaluator, le.unsent = evaluates, true
 	}
-	running, all := len(se.running(ro.order.Target)), 0
-	for _, en := range se.endpoints {
-		if !en.Leaving {
-			all++
-		}
-	}
-	ro.judge.stepCrashes(ro.ledger, now, all-running, running)
+	running, others := se.running(ro.order.Target)
+	ro.judge.stepCrashes(ro.ledger, now, others, running)
 	reason, bad := ro.judge.verdict(running > 1)
 	if !bad && ro.lastChance(ro.age(now)) {
 		reason, bad = ro.judge.doubt(running > 1)
@@ -166,7 +161,7 @@
 
 func (re *Registry) dueFromPending(se *service, age time.Duration) (State, string) {
 	ro := se.rollout
-	if len(se.running(ro.order.Target)) > 0 {
+	if count, _ := se.running(ro.order.Target); count > 0 {
 		return Canary, "endpoints have started"
 	}
 	if age >= ro.order.Budget-ro.margin() {
@@ -177,13 +172,14 @@
 
 func (re *Registry) dueFromCanary(se *service, age time.Duration) (State, string) {
 	ro := se.rollout
+	count, _ := se.running(ro.order.Target)
 	late := age >= ro.order.Budget-ro.margin()
 	wait := ro.decision()
-	if _, doubt := ro.judge.doubt(len(se.running(ro.order.Target)) > 1); doubt {
+	if _, doubt := ro.judge.doubt(count > 1); doubt {
 		wait += doubtTime
 	}
 	switch enough := ro.ledger.targetAnswers() >= leastAnswers || re.Bounds.fits(ro.ledger, age, ro.order.Budget); {
-	case len(se.running(ro.order.Target)) == 0 && late:
+	case count == 0 && late:
 		return RolledBack, "no endpoint is left"
 	case age >= wait && enough:
 		return Promoting, "no worse than the old version"
--- a/internal/rollout/state.go
+++ b/internal/rollout/state.go
@@ -6,14 +6,14 @@
 const (
 	// Pending is the state of an order for which nobody has written a status yet.
 	Pending State = iota
-	// Canary: a share of the requests goes to the target.
+	// Canary is the state in which a share of the requests goes to the target.
 	Canary
-	// Promoting: the target was found good; all requests go to it and the runs at old
-	// endpoints are moved.
+	// Promoting follows when the target was found good: all requests go to it and the
+	// runs at old endpoints are moved.
 	Promoting
-	// Completed: the old endpoints stop at once.
+	// Completed is the end of a good version: the old endpoints stop at once.
 	Completed
-	// RolledBack: the target gets no request.
+	// RolledBack is the end of a bad one: the target gets no request.
 	RolledBack
 )
 
