--- a/internal/rollout/exposure.go
+++ b/internal/rollout/exposure.go
@@ -17,6 +17,8 @@
 	trafficFloor = 0.5
 	// leastWatch limits how fast what is left of the exposure is used.
 	leastWatch = time.Second
+	// earlyPart is the part of the base share that is used until then.
+	earlyPart = 0.5
 	// fullFactor is how much more than the base share is used at least in the last
 	// seconds, fullTolerance the part of it from which they have begun.
 	fullFactor    = 3
@@ -52,7 +54,7 @@
 	even := left / (rate * max(decision-age, leastWatch).Seconds())
 	full := min(max(1/float64(max(endpoints, 1)), fullFactor*base), maxShare)
 	if even < full*fullTolerance {
-		return min(max(even, 0), base)
+		return min(max(even, 0), earlyPart*base)
 	}
 	return min(even, maxShare)
 }
--- a/internal/rollout/registry_test.go
+++ b/internal/rollout/registry_test.go
@@ -90,11 +90,11 @@
 		want  func(old, target int) bool
 		text  string
 	}{
-		{Pending, func(old, target int) bool { return old == 1000 }, "nothing"},
+		{Pending, func(old, _ int) bool { return old == 1000 }, "nothing"},
 		{Canary, func(old, target int) bool { return target > 10 && target < 80 && old == 1000-target }, "the base share"},
 		{Promoting, func(old, target int) bool { return target > 150 && old == 1000-target }, "a rising share"},
-		{Completed, func(old, target int) bool { return target == 1000 }, "all"},
-		{RolledBack, func(old, target int) bool { return old == 1000 }, "nothing"},
+		{Completed, func(_, target int) bool { return target == 1000 }, "all"},
+		{RolledBack, func(old, _ int) bool { return old == 1000 }, "nothing"},
 	} {
 		t.Run(tc.state.String(), func(t *testing.T) {
 			g := NewWithT(t)
