gateway: a verdict is logged with the counts of all instances

rollout_verdict comes when an evaluating instance is first told to promote a version or to roll it back. Registry.Counts gives the totals.

--- a/internal/gateway/restore_test.go
+++ b/internal/gateway/restore_test.go
@@ -9,8 +9,11 @@
 	. "github.com/onsi/gomega"
 	"github.com/rs/zerolog"
 
+	"filbertstall.example/filbertstall/internal/boottime"
 	"filbertstall.example/filbertstall/internal/feed"
 	"filbertstall.example/filbertstall/internal/loadshare"
+	"filbertstall.example/filbertstall/internal/relay"
+	"filbertstall.example/filbertstall/internal/rollout"
 	"filbertstall.example/filbertstall/internal/roster"
 )
 
@@ -34,6 +37,28 @@
 	g.Expect(ro.View().Evacuated()).To(Equal([]string{"b"}))
 }
 
+// An order that a restored store has lost stays in force until operators had time to
+// write it again. One that can't be read orders nothing.
+func TestRollOutsOfRestoredStore(t *testing.T) {
+	g := NewWithT(t)
+	clock, boot := clockwork.NewFakeClock(), &boottime.Manual{}
+	orders := &relay.Orders{Registry: &rollout.Registry{}, Clock: clock, Boot: boot}
+	rs := &rolloutSink{orders: orders, clock: clock, log: zerolog.Nop()}
+	order := func(service string) feed.Object[rollout.Order] {
+		return feed.Object[rollout.Order]{Name: service, Value: &rollout.Order{Service: service, Target: "v2"}}
+	}
+	rs.Reset([]feed.Object[rollout.Order]{order("s"), order("t")})
+	rs.Restored()
+	rs.Reset([]feed.Object[rollout.Order]{order("t")})
+	rs.CallAnswered(0)
+	g.Expect(orders.List()).To(HaveLen(2))
+	clock.Advance(rewriteTime)
+	rs.CallAnswered(0)
+	g.Expect(orders.List()).To(ConsistOf(HaveField("Service", "t")))
+	rs.Apply([]feed.Change[rollout.Order]{{Object: feed.Object[rollout.Order]{Name: "t", Err: errors.New("unreadable")}}})
+	g.Expect(orders.List()).To(BeEmpty())
+}
+
 // Instances whose entries a restored store has lost stay known, and are written
 // again until the store has them.
 func TestMembersOfRestoredStore(t *testing.T) {
--- a/internal/gateway/rollout.go
+++ b/internal/gateway/rollout.go
@@ -116,6 +116,9 @@
 		}
 	}
 	if tr, wanted := ro.Next(ro.evaluates, ro.pending); wanted {
+		if tr.State != ro.offer.State || tr.Revision != ro.offer.Revision || tr.Service != ro.offer.Service {
+			ro.logVerdict(tr)
+		}
 		ro.offer, ro.offeredAt = tr, ro.gw.Clock.Now()
 	}
 	if ro.exchange != nil {
@@ -140,6 +143,17 @@
 	})
 }
 
+// logVerdict logs what a version was found to be, if that is what a transition tells.
+func (ro *rollouts) logVerdict(tr rollout.Transition) {
+	if tr.State != rollout.Promoting && tr.State != rollout.RolledBack {
+		return
+	}
+	co := ro.Counts(tr.Service)
+	ro.gw.Log.Info().Str("event", "rollout_verdict").Str("service", tr.Service).Str("target", tr.Target).Str("state", tr.State.String()).Str("reason", tr.Reason).
+		Int("sent_old", co.SentOld).Int("sent_new", co.SentNew).Int("answers_old", co.AnswersOld).Int("answers_new", co.AnswersNew).
+		Int("failures_old", co.FailuresOld).Int("failures_new", co.FailuresNew).Dur("age", tr.Age).Msg("gateway: a version on trial was judged by the answers of all instances")
+}
+
 // observe records when each stage of the orders began, and forgets those of others.
 func (ro *rollouts) observe(list []rollout.Order) {
 	now := ro.gw.Clock.Now()
--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -97,7 +97,7 @@
 	"endpoint_leaves": true, "endpoint_gone": true, "endpoint_held": true, "crash_suspected": true, "dependency_lost": true,
 	"dependency_regained": true, "engine_leaves": true, "reader_left": true, "configuration": true, "evacuations": true, "stopping": true, "stop_cuts": true,
 	"log_dropped": true, "endpoint_limited": true, "endpoint_limit_ended": true, "endpoint_retry_after": true, "endpoint_leaving": true,
-	"rollout_ordered": true, "rollout_stage": true, "rollout_verdict": true, "rollout_completed": true, "rollout_rolled_back": true,
+	"rollout_ordered": true, "rollout_stage": true, "rollout_verdict": true, "rollout_halted": true, "rollout_bad": true, "rollout_completed": true, "rollout_rolled_back": true,
 	"path_lost": true, "path_back": true, "part_blamed": true, "request_blamed": true, "endpoint_brittle": true,
 }
 
