rollout: evaluators name outliers to the others; the test fleet reports to evaluators only

For the wiring: no signature changes; a row without a route names an outlier and has no totals, so that the datagrams need no new field. Cause: the gateway sends reports only to the evaluators, one for each zone, so that the other instances don't see which endpoint of the target is worse and go on using it alone; then the evidence without it never comes. Ruled out: all reports to all (340 instances times 340).

--- a/internal/rollout/fleet_test.go
+++ b/internal/rollout/fleet_test.go
@@ -173,6 +173,9 @@
 			continue
 		}
 		for to, other := range fl.list {
+			if all := list == nil || list[0].Evaluator || list[0].Verdict == RolledBack; !all && !fl.evaluates(to) {
+				continue
+			}
 			if to != ix && fl.cut(ix) == fl.cut(to) && fl.rng.Float64() >= 0.1 {
 				other.Merge(re.Instance, list)
 			}
@@ -180,14 +183,16 @@
 	}
 }
 
-// decide calls Next on all. The evaluator is the first of each half.
+// evaluates reports whether an instance is the evaluator of its zone.
+func (*playFleet) evaluates(ix int) bool { return ix < 3 }
+
+// decide calls Next on all.
 func (fl *playFleet) decide() {
 	for ix, re := range fl.list {
 		if (fl.tick+7*ix)%10 != 0 {
 			continue
 		}
-		evaluates := ix == 0 || ix == 1 && fl.cut(1)
-		tr, due := re.Next(func(string) bool { return evaluates }, func(string, string) int { return fl.inOld })
+		tr, due := re.Next(func(string) bool { return fl.evaluates(ix) }, func(string, string) int { return fl.inOld })
 		if due && !fl.cut(ix) && tr.Revision == fl.order.Revision {
 			fl.order = fl.order.WithState(tr.State).WithRevision(tr.Revision + 1).WithAge(tr.Age)
 			if tr.State.Final() {
--- a/internal/rollout/ledger.go
+++ b/internal/rollout/ledger.go
@@ -31,6 +31,7 @@
 	sentNew  int
 	crashOld map[string]bool
 	crashNew map[string]bool
+	outliers []string
 	unsent   bool
 }
 
@@ -108,22 +109,44 @@
 func (le *ledger) report(age time.Duration) Report {
 	re := le.own
 	re.Age = age
-	re.Rows = make([]Row, 0, len(le.rows))
+	re.Rows = make([]Row, 0, len(le.rows)+len(le.outliers))
+	for _, id := range le.outliers {
+		re.Rows = append(re.Rows, Row{Endpoint: id})
+	}
 	for key, to := range le.rows {
 		re.Rows = append(re.Rows, Row{Route: key.route, Endpoint: key.endpoint, Totals: *to})
 	}
 	slices.SortFunc(re.Rows, func(a, b Row) int {
 		return cmp.Or(cmp.Compare(a.Route, b.Route), cmp.Compare(a.Endpoint, b.Endpoint))
 	})
+	re.Rows = re.Rows[:min(len(re.Rows), maxRows)]
 	return re
 }
 
+// setOutliers sets the endpoints that this instance, as an evaluator, names.
+func (le *ledger) setOutliers(list []string) {
+	if !slices.Equal(list, le.outliers) {
+		le.outliers, le.unsent = list, true
+	}
+}
+
+// outliersOf returns the endpoints that a report names as outliers.
+func outliersOf(re Report) (list []string) {
+	for _, ro := range re.Rows {
+		if ro.Route == "" {
+			list = append(list, ro.Endpoint)
+		}
+	}
+	return list
+}
+
 // merge replaces what an instance has reported before. It returns false for a report
 // that is not newer.
 func (le *ledger) merge(instance string, re Report) bool {
 	if len(re.Rows) > maxRows {
 		re.Rows = re.Rows[:maxRows]
 	}
+	re.Rows = slices.DeleteFunc(slices.Clone(re.Rows), func(ro Row) bool { return ro.Route == "" })
 	before, known := le.others[instance]
 	if known && before.Boot == re.Boot && before.Sequence >= re.Sequence {
 		return false
--- a/internal/rollout/publish.go
+++ b/internal/rollout/publish.go
@@ -105,7 +105,7 @@
 	if se.ranked == nil {
 		se.ranked = se.rankedIDs(ru.target)
 	}
-	outliers := ro.judge.outliers()
+	outliers := ro.outliers()
 	ru.rank = make(map[string]int, len(se.ranked))
 	for _, last := range []bool{false, true} {
 		for _, id := range se.ranked {
--- a/internal/rollout/report.go
+++ b/internal/rollout/report.go
@@ -29,7 +29,8 @@
 }
 
 // Row has the totals of one route: of one endpoint of the target, or of all endpoints
-// of other versions together, for which Endpoint is empty.
+// of other versions together, for which Endpoint is empty. In the report of an evaluator,
+// a row without a route names an outlier and has no totals.
 type Row struct {
 	Route, Endpoint string
 	Totals          Totals
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -31,10 +31,12 @@
 	offeredAt time.Time
 }
 
-// toldShare is the share that an evaluator has told, and when.
+// toldShare is the share that an evaluator has told, and when, with the endpoints of the
+// target that it has found worse than the others.
 type toldShare struct {
-	share float64
-	at    time.Time
+	share    float64
+	at       time.Time
+	outliers []string
 }
 
 func (re *Registry) newRollout(or Order, now time.Time) *rollout {
@@ -76,7 +78,7 @@
 		return false
 	}
 	if rep.Evaluator && rep.Verdict != RolledBack {
-		ro.shares[instance] = toldShare{rep.Share, now}
+		ro.shares[instance] = toldShare{share: rep.Share, at: now, outliers: outliersOf(rep)}
 	}
 	if rep.Verdict == RolledBack && !ro.bad && ro.state != Completed {
 		ro.condemn("told by "+instance, log)
@@ -110,3 +112,15 @@
 	}
 	return least
 }
+
+// outliers returns the endpoints of the target that look worse than the others, to this
+// instance or to an evaluator.
+func (ro *rollout) outliers() map[string]bool {
+	set := ro.judge.outliers()
+	for _, ts := range ro.shares {
+		for _, id := range ts.outliers {
+			set[id] = true
+		}
+	}
+	return set
+}
--- a/internal/rollout/stage.go
+++ b/internal/rollout/stage.go
@@ -26,6 +26,8 @@
 	// leastAnswers is the number of the target's answers without which it is promoted
 	// only if the bound holds even if it is bad.
 	leastAnswers = 20
+	// maxOutliers limits the endpoints that a report names as outliers.
+	maxOutliers = 16
 	// marginPart of the budget is left at its end for the write of the last status, but
 	// at least leastMargin and at most mostMargin.
 	marginPart  = 0.08
@@ -94,12 +96,15 @@
 	}
 	if !evaluates || ro.bad {
 		delete(ro.shares, re.Instance)
+		le.setOutliers(nil)
 		return
 	}
+	outliers := slices.Sorted(maps.Keys(ro.judge.outliers()))
+	le.setOutliers(outliers[:min(len(outliers), maxOutliers)])
 	if share := re.Bounds.plannedShare(ro, ro.age(now), running); share != le.own.Share {
 		le.own.Share, le.unsent = share, true
 	}
-	ro.shares[re.Instance] = toldShare{le.own.Share, now}
+	ro.shares[re.Instance] = toldShare{share: le.own.Share, at: now}
 }
 
 // lastChance reports whether the target would be promoted or completed now. Evidence
