rollout: an order for the version in use; no old endpoint left; counters

Cause: an order that names the version that all endpoints have made Filter return nothing until a canary, and then a few endpoints only. Such an order is completed at once; and a target without any old endpoint is used whole, as the order allows it, but never after a roll-back. Ruled out: to ignore such an order, which leaves it without a status. Conclusion: the rest of the package is unchanged.

--- a/internal/rollout/publish.go
+++ b/internal/rollout/publish.go
@@ -41,11 +41,18 @@
 	ru.target = ro.order.Target
 	delete(ru.usable, ru.target)
 	ru.mode = re.modeOf(ro, now)
+	count, others := se.running(ru.target)
+	alone := count > 0 && others == 0
+	if alone && ro.inUse && ro.state == Pending {
+		ru.mode = shared
+	}
 	ru.leaving = ro.bad || ro.state == RolledBack
 	switch ru.mode {
 	case shared:
 		ru.share, ru.moving = ro.currentShare(re.Bounds, now), ro.state == Promoting
-		se.chooseEndpoints(ru, ro)
+		if !ru.moving && !alone {
+			se.chooseEndpoints(ru, ro)
+		}
 	case targetOnly:
 		se.retire(ru, ro)
 	}
@@ -99,9 +106,6 @@
 // sets how many of them get requests: so many that each gets no more than an old one.
 // Outliers come last.
 func (se *service) chooseEndpoints(ru *rule, ro *rollout) {
-	if ru.moving {
-		return
-	}
 	if se.ranked == nil {
 		se.ranked = se.rankedIDs(ru.target)
 	}
--- a/internal/rollout/registry.go
+++ b/internal/rollout/registry.go
@@ -85,6 +85,8 @@
 			se.rollout = se.removed
 		} else {
 			se.rollout = re.newRollout(or, now)
+			ve := se.versions[or.Target]
+			se.rollout.inUse = ve != nil && ve.known && !ve.withdrawn
 		}
 		se.removed = nil
 		re.Log.Info().Str("event", "rollout_order").Str("service", or.Service).Str("target", or.Target).Stringer("state", or.State).Msg("rollout: new order")
@@ -235,6 +237,13 @@
 	}
 }
 
+// count counts a rare event.
+func (re *Registry) count(name string) {
+	if re.Scope != nil {
+		re.Scope.Counter(name).Inc(1)
+	}
+}
+
 func (re *Registry) service(name string) *service {
 	se := re.services[name]
 	if se == nil {
--- a/internal/rollout/registry_test.go
+++ b/internal/rollout/registry_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -145,6 +146,52 @@
 	g.Expect(be.services[service1].rollout.state).To(Equal(RolledBack), "the copy lacked the order")
 }
 
+func TestOrderForTheVersionInUse(t *testing.T) {
+	g := NewWithT(t)
+	be := newBed("a")
+	be.start("v1")
+	be.confirm()
+	be.Put([]Order{order("v1", Pending)})
+	g.Expect(be.Filter(service1, "request", be.ready)).To(HaveLen(4))
+	tr, due := be.Next(everything, nothingLeft)
+	g.Expect(due).To(BeTrue())
+	g.Expect(tr.State).To(Equal(Completed))
+}
+
+func TestOldEndpointsAreGone(t *testing.T) {
+	g := NewWithT(t)
+	be := newBed("a")
+	be.Put([]Order{order("v2", Canary)})
+	be.confirm()
+	be.start("v2")
+	g.Expect(be.Filter(service1, "request", be.ready)).To(HaveLen(4), "all endpoints of the version on trial")
+	be.Put([]Order{order("v2", RolledBack)})
+	g.Expect(be.Filter(service1, "request", be.ready)).To(BeEmpty(), "never the target")
+}
+
+func TestConcurrentUse(t *testing.T) {
+	be := newBed("a")
+	be.start("v1")
+	be.Put([]Order{order("v2", Canary)})
+	be.confirm()
+	be.start("v2")
+	var wg sync.WaitGroup
+	for ix := range 4 {
+		wg.Go(func() {
+			for step := range 200 {
+				for _, en := range be.Filter(service1, fmt.Sprint(ix, step), be.ready) {
+					be.Sent(en)
+					be.Record(en, Sample{Route: "r"})
+				}
+				list, _ := be.Changed()
+				be.Merge(fmt.Sprint(ix), list)
+				be.Next(everything, nothingLeft)
+			}
+		})
+	}
+	wg.Wait()
+}
+
 func everything(string) bool         { return true }
 func nothingLeft(string, string) int { return 0 }
 
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -14,6 +14,8 @@
 	// state is the furthest one that the store has shown, stateAt when it was first.
 	state   State
 	stateAt time.Time
+	// inUse is set if the target was used before the order was known.
+	inUse bool
 	// bad is set once an evaluator has found the target bad, and reason says why.
 	bad    bool
 	reason string
--- a/internal/rollout/stage.go
+++ b/internal/rollout/stage.go
@@ -88,10 +88,12 @@
 	if bad && !ro.bad && ro.state != Pending {
 		if !ro.halted {
 			ro.halted = true
+			re.count("rollout_halts")
 			re.Log.Info().Str("event", "rollout_halted").Str("service", se.name).Str("target", ro.order.Target).Str("reason", reason).Msg("rollout: this instance sends the version no more requests")
 		}
 		if evaluates {
 			ro.condemn(reason, re.Log)
+			re.count("rollout_verdicts")
 		}
 	}
 	if !evaluates || ro.bad {
@@ -166,7 +168,11 @@
 
 func (re *Registry) dueFromPending(se *service, age time.Duration) (State, string) {
 	ro := se.rollout
-	if count, _ := se.running(ro.order.Target); count > 0 {
+	count, others := se.running(ro.order.Target)
+	if count > 0 && others == 0 && ro.inUse {
+		return Completed, "the version is in use"
+	}
+	if count > 0 {
 		return Canary, "endpoints have started"
 	}
 	if age >= ro.order.Budget-ro.margin() {
