--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -14,6 +14,8 @@
 	// state is the furthest one that the store has shown, stateAt when it was first.
 	state   State
 	stateAt time.Time
+	// inUse is set if the target was used before the order was known.
+	inUse bool
 	// bad is set once an evaluator has found the target bad, and reason says why.
 	bad    bool
 	reason string
@@ -31,10 +33,12 @@
 	offeredAt time.Time
 }
 
-// toldShare is the share that an evaluator has told, and when.
+// toldShare is the share that an evaluator has told, and when, with the endpoints of the
+// target that it has found worse than the others.
 type toldShare struct {
-	share float64
-	at    time.Time
+	share    float64
+	at       time.Time
+	outliers []string
 }
 
 func (re *Registry) newRollout(or Order, now time.Time) *rollout {
@@ -76,7 +80,7 @@
 		return false
 	}
 	if rep.Evaluator && rep.Verdict != RolledBack {
-		ro.shares[instance] = toldShare{rep.Share, now}
+		ro.shares[instance] = toldShare{share: rep.Share, at: now, outliers: outliersOf(rep)}
 	}
 	if rep.Verdict == RolledBack && !ro.bad && ro.state != Completed {
 		ro.condemn("told by "+instance, log)
@@ -110,3 +114,15 @@
 	}
 	return least
 }
+
+// outliers returns the endpoints of the target that look worse than the others, to this
+// instance or to an evaluator.
+func (ro *rollout) outliers() map[string]bool {
+	set := ro.judge.outliers()
+	for _, ts := range ro.shares {
+		for _, id := range ts.outliers {
+			set[id] = true
+		}
+	}
+	return set
+}
--- a/internal/rollout/stage.go
+++ b/internal/rollout/stage.go
@@ -26,6 +26,8 @@
 	// leastAnswers is the number of the target's answers without which it is promoted
 	// only if the bound holds even if it is bad.
 	leastAnswers = 20
+	// maxOutliers limits the endpoints that a report names as outliers.
+	maxOutliers = 16
 	// marginPart of the budget is left at its end for the write of the last status, but
 	// at least leastMargin and at most mostMargin.
 	marginPart  = 0.08
@@ -86,20 +88,25 @@
 	if bad && !ro.bad && ro.state != Pending {
 		if !ro.halted {
 			ro.halted = true
+			re.count("rollout_halts")
 			re.Log.Info().Str("event", "rollout_halted").Str("service", se.name).Str("target", ro.order.Target).Str("reason", reason).Msg("rollout: this instance sends the version no more requests")
 		}
 		if evaluates {
 			ro.condemn(reason, re.Log)
+			re.count("rollout_verdicts")
 		}
 	}
 	if !evaluates || ro.bad {
 		delete(ro.shares, re.Instance)
+		le.setOutliers(nil)
 		return
 	}
+	outliers := slices.Sorted(maps.Keys(ro.judge.outliers()))
+	le.setOutliers(outliers[:min(len(outliers), maxOutliers)])
 	if share := re.Bounds.plannedShare(ro, ro.age(now), running); share != le.own.Share {
 		le.own.Share, le.unsent = share, true
 	}
-	ro.shares[re.Instance] = toldShare{le.own.Share, now}
+	ro.shares[re.Instance] = toldShare{share: le.own.Share, at: now}
 }
 
 // lastChance reports whether the target would be promoted or completed now. Evidence
@@ -161,7 +168,11 @@
 
 func (re *Registry) dueFromPending(se *service, age time.Duration) (State, string) {
 	ro := se.rollout
-	if count, _ := se.running(ro.order.Target); count > 0 {
+	count, others := se.running(ro.order.Target)
+	if count > 0 && others == 0 && ro.inUse {
+		return Completed, "the version is in use"
+	}
+	if count > 0 {
 		return Canary, "endpoints have started"
 	}
 	if age >= ro.order.Budget-ro.margin() {
