--- a/internal/rollout/stage.go
+++ b/internal/rollout/stage.go
@@ -26,6 +26,8 @@
 	// leastAnswers is the number of the target's answers without which it is promoted
 	// only if the bound holds even if it is bad.
 	leastAnswers = 20
+	// maxOutliers limits the endpoints that a report names as outliers.
+	maxOutliers = 16
 	// marginPart of the budget is left at its end for the write of the last status, but
 	// at least leastMargin and at most mostMargin.
 	marginPart  = 0.08
@@ -77,13 +79,8 @@
 	if le.own.Evaluator != evaluates {
 		le.own.Evaluator, le.unsent = evaluates, true
 	}
-	running, all := len(se.running(ro.order.Target)), 0
-	for _, en := range se.endpoints {
-		if !en.Leaving {
-			all++
-		}
-	}
-	ro.judge.stepCrashes(ro.ledger, now, all-running, running)
+	running, others := se.running(ro.order.Target)
+	ro.judge.stepCrashes(ro.ledger, now, others, running)
 	reason, bad := ro.judge.verdict(running > 1)
 	if !bad && ro.lastChance(ro.age(now)) {
 		reason, bad = ro.judge.doubt(running > 1)
@@ -91,20 +88,25 @@
 	if bad && !ro.bad && ro.state != Pending {
 		if !ro.halted {
 			ro.halted = true
+			re.count("rollout_halts")
 			re.Log.Info().Str("event", "rollout_halted").Str("service", se.name).Str("target", ro.order.Target).Str("reason", reason).Msg("rollout: this instance sends the version no more requests")
 		}
 		if evaluates {
 			ro.condemn(reason, re.Log)
+			re.count("rollout_verdicts")
 		}
 	}
 	if !evaluates || ro.bad {
 		delete(ro.shares, re.Instance)
+		le.setOutliers(nil)
 		return
 	}
+	outliers := slices.Sorted(maps.Keys(ro.judge.outliers()))
+	le.setOutliers(outliers[:min(len(outliers), maxOutliers)])
 	if share := re.Bounds.plannedShare(ro, ro.age(now), running); share != le.own.Share {
 		le.own.Share, le.unsent = share, true
 	}
-	ro.shares[re.Instance] = toldShare{le.own.Share, now}
+	ro.shares[re.Instance] = toldShare{share: le.own.Share, at: now}
 }
 
 // lastChance reports whether the target would be promoted or completed now. Evidence
@@ -166,7 +168,11 @@
 
 func (re *Registry) dueFromPending(se *service, age time.Duration) (State, string) {
 	ro := se.rollout
-	if len(se.running(ro.order.Target)) > 0 {
+	count, others := se.running(ro.order.Target)
+	if count > 0 && others == 0 && ro.inUse {
+		return Completed, "the version is in use"
+	}
+	if count > 0 {
 		return Canary, "endpoints have started"
 	}
 	if age >= ro.order.Budget-ro.margin() {
@@ -177,13 +183,14 @@
 
 func (re *Registry) dueFromCanary(se *service, age time.Duration) (State, string) {
 	ro := se.rollout
+	count, _ := se.running(ro.order.Target)
 	late := age >= ro.order.Budget-ro.margin()
 	wait := ro.decision()
-	if _, doubt := ro.judge.doubt(len(se.running(ro.order.Target)) > 1); doubt {
+	if _, doubt := ro.judge.doubt(count > 1); doubt {
 		wait += doubtTime
 	}
 	switch enough := ro.ledger.targetAnswers() >= leastAnswers || re.Bounds.fits(ro.ledger, age, ro.order.Budget); {
-	case len(se.running(ro.order.Target)) == 0 && late:
+	case count == 0 && late:
 		return RolledBack, "no endpoint is left"
 	case age >= wait && enough:
 		return Promoting, "no worse than the old version"
