outlier: only answers to requests sent after a failure show that it is over

And an end of a run's move counted as a success of its target, also when the copy had failed.

Change: a success counts from when its request was sent; a doubted engine costs like an exhausted one (2,000 ms); only answers that began or came whole are successes (Ticket.Answered).

Ruled out: false judgements as the cause of late drafts from 8 to 12 s: nothing was set aside between 0.8 and 9.9 s in that log.

Tests: TestReturn has the request that was under way.

--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -89,6 +89,8 @@
 		ou := placement.Done
 		if re.answer.Status >= 500 {
 			ou = placement.Failed
+		} else {
+			re.ticket.Answered()
 		}
 		re.ticket.End(ou)
 		re.body = body
--- a/internal/dispatch/outlier_test.go
+++ b/internal/dispatch/outlier_test.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strconv"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -19,7 +20,10 @@
 
 func (*outcomes) Begin(roster.Endpoint) {}
 
-func (oc *outcomes) Record(en roster.Endpoint, ou placement.Outcome) {
+func (oc *outcomes) Record(en roster.Endpoint, ou placement.Outcome, _ time.Time) {
+	if ou == placement.Abandoned {
+		return // no sign
+	}
 	oc.list = append(oc.list, en.ID+" "+strconv.Itoa(int(ou)))
 }
 
--- a/internal/outlier/detector.go
+++ b/internal/outlier/detector.go
@@ -91,8 +91,9 @@
 // isDoubtful reports whether a success changes the judgement on a process.
 func (pr *process) isDoubtful() bool { return pr.ejected || !pr.doubtedUntil.IsZero() }
 
-// Record records the outcome of a request at an endpoint.
-func (de *Detector) Record(en roster.Endpoint, ou placement.Outcome) {
+// Record implements placement.Outliers. A success counts from when its request was sent: one
+// that was under way before a failure doesn't show that the endpoint works again.
+func (de *Detector) Record(en roster.Endpoint, ou placement.Outcome, sent time.Time) {
 	sg := signOf(ou)
 	if de.tracked.Load() == 0 && sg != failure {
 		return
@@ -117,7 +118,7 @@
 	if sg == failure {
 		si.failures = appendTime(si.failures, now)
 	} else {
-		si.successes = appendTime(si.successes, now)
+		si.successes = appendTime(si.successes, sent)
 	}
 	pr.seen[de.Instance] = si
 	isNews := sg == failure || pr.isDoubtful()
--- a/internal/outlier/doc.go
+++ b/internal/outlier/doc.go
@@ -20,7 +20,7 @@
 // # Usage
 //
 //	de := &outlier.Detector{Instance: "edge-1", Zone: "a", Roster: ro, Instances: count, Clock: clock, Log: log}
-//	de.Record(endpoint, placement.Lost)
+//	de.Record(endpoint, placement.Lost, sentAt)
 //	if de.Standing(endpoint) == placement.SetAside { ... }
 //	de.Merge("edge-2", "b", reports) // what another instance saw
 //	reports := de.Changed(true)      // what to tell others
--- a/internal/outlier/fleet_test.go
+++ b/internal/outlier/fleet_test.go
@@ -125,7 +125,7 @@
 		if no.isCut != nil && no.isCut(en) {
 			ou = placement.Unreachable
 		}
-		no.de.Record(en, ou)
+		no.de.Record(en, ou, fl.clock.Now())
 	}
 }
 
@@ -149,7 +149,7 @@
 func (fl *fleet) eject(ix int) {
 	for range failuresInRow {
 		for no := ix % len(zoneNames); no < 6; no += len(zoneNames) {
-			fl.nodes[no].de.Record(fl.engine(ix), placement.Lost)
+			fl.nodes[no].de.Record(fl.engine(ix), placement.Lost, fl.clock.Now())
 		}
 	}
 	for range len(fl.nodes)/10 + 3 { // the least time between two messages
--- a/internal/outlier/outlier_test.go
+++ b/internal/outlier/outlier_test.go
@@ -34,7 +34,7 @@
 	forEachSize(t, func(g Gomega, instances int) {
 		fl := newFleet(instances, 12, 0)
 		loses := func(en roster.Endpoint) bool { return en.ID == engineID(0) }
-		for range 3 {
+		for range 2 {
 			g.Expect(fl.run(1300*time.Millisecond, loses)).To(BeNumerically("<=", failuresInRow+3), "the first ones and those of probes")
 			fl.run(3*time.Second, never)
 			g.Expect(fl.setAside(0)).To(BeZero())
@@ -58,7 +58,9 @@
 		fl := newFleet(instances, 12, 0)
 		fl.eject(0)
 		g.Expect(fl.setAside(0)).To(Equal(instances))
-		fl.nodes[0].de.Record(fl.engine(0), placement.Done)
+		fl.nodes[0].de.Record(fl.engine(0), placement.Done, fl.clock.Now().Add(-time.Second))
+		g.Expect(fl.setAside(0)).To(Equal(instances), "the request was under way before")
+		fl.nodes[0].de.Record(fl.engine(0), placement.Done, fl.clock.Now())
 		for range instances/10 + 2 { // the least time between two messages
 			fl.step()
 		}
--- a/internal/outlier/sighting.go
+++ b/internal/outlier/sighting.go
@@ -62,9 +62,12 @@
 	return times[len(times)-1]
 }
 
-// appendTime returns a copy of some times with one more.
+// appendTime returns a copy of some times with one more, without the oldest if there are too
+// many.
 func appendTime(times []time.Time, at time.Time) []time.Time {
-	return append(slices.Clone(times[max(len(times)-maxTimes+1, 0):]), at)
+	next := append(slices.Clone(times), at)
+	slices.SortFunc(next, time.Time.Compare)
+	return next[max(len(next)-maxTimes, 0):]
 }
 
 func ages(times []time.Time, now time.Time) []time.Duration {
--- a/internal/placement/outlier.go
+++ b/internal/placement/outlier.go
@@ -10,9 +10,9 @@
 	// setAsideCost applies to an endpoint that is set aside. It exceeds all other costs of
 	// a usable endpoint, so that it gets a request only if there is no other.
 	setAsideCost = 50_000.0
-	// doubtCost applies to an engine that is doubted. It is that of a busy engine: one that
-	// fails at once looks idle.
-	doubtCost = 500.0
+	// doubtCost applies to an engine that is doubted. It is that of an exhausted engine: one
+	// that fails at once looks idle.
+	doubtCost = 2000.0
 )
 
 // Standing is the judgement on an endpoint.
@@ -33,8 +33,10 @@
 	// Begin records that a request is sent to an endpoint.
 	Begin(en roster.Endpoint)
 	// Record records the outcome of a request at an endpoint. For a stream, Done means
-	// that it has begun. Its later end shows only that the engine goes on with what it has.
-	Record(en roster.Endpoint, ou Outcome)
+	// that it has begun. Its later end shows only that the engine goes on with what it
+	// has, and counts as Abandoned. sent is when the request was sent: its success says
+	// nothing of failures since.
+	Record(en roster.Endpoint, ou Outcome, sent time.Time)
 	// Standing returns the judgement on an endpoint.
 	Standing(en roster.Endpoint) Standing
 }
@@ -70,20 +72,26 @@
 // recordEndpoint records the outcome of a request for the judgement on its endpoint and on
 // the endpoint's zone. The caller must hold the tracker's mu.
 func (ti *Ticket) recordEndpoint(ou Outcome) {
-	if ou == Done && ti.answered {
-		return
-	}
-	ti.answered = ti.answered || ou == Done
 	lt := ti.tracker
-	if zone, failing := lt.zoneFailures.record(ti.endpoint, ou, lt.Clock.Now()); failing && lt.OnZoneFailing != nil {
+	if zone, failing := lt.zoneFailures.record(ti.endpoint, ou, ti.sentAt, lt.Clock.Now()); failing && lt.OnZoneFailing != nil {
 		lt.OnZoneFailing(zone)
 	}
 	if lt.Outliers != nil {
-		lt.Outliers.Record(ti.endpoint, ou)
+		lt.Outliers.Record(ti.endpoint, ou, ti.sentAt)
+	}
+}
+
+// recordEnd records the end of an attempt. Done is not a sign that the endpoint takes
+// requests: Answered is.
+func (ti *Ticket) recordEnd(ou Outcome) {
+	if ou == Done {
+		ou = Abandoned
 	}
+	ti.recordEndpoint(ou)
 }
 
-// Answered records that a stream has begun, which shows that its endpoint takes requests.
+// Answered records that a whole answer has arrived, or that a stream has begun, which shows
+// that the endpoint takes requests.
 func (ti *Ticket) Answered() {
 	ti.tracker.mu.Lock()
 	defer ti.tracker.mu.Unlock()
--- a/internal/placement/ticket.go
+++ b/internal/placement/ticket.go
@@ -1,6 +1,10 @@
 package placement
 
-import "filbertstall.example/filbertstall/internal/roster"
+import (
+	"time"
+
+	"filbertstall.example/filbertstall/internal/roster"
+)
 
 // Ticket accounts for one in-flight request, or one standby copy, at an
 // endpoint. It is safe for concurrent use.
@@ -8,6 +12,7 @@
 	tracker        *LoadTracker
 	id             string
 	endpoint       roster.Endpoint
+	sentAt         time.Time
 	prefillTokens  int
 	reservedTokens int
 	// engine is true if the endpoint is an engine.
@@ -16,8 +21,6 @@
 	// request.
 	memoryOnly bool
 	ended      bool
-	// answered is set once the endpoint is known to take requests.
-	answered bool
 	// onEnd is called by End. It may be nil.
 	onEnd func()
 }
@@ -29,7 +32,7 @@
 func (lt *LoadTracker) Begin(en roster.Endpoint, dm Demand) *Ticket {
 	lt.mu.Lock()
 	defer lt.mu.Unlock()
-	ti := &Ticket{tracker: lt, id: en.ID, endpoint: en}
+	ti := &Ticket{tracker: lt, id: en.ID, endpoint: en, sentAt: lt.Clock.Now()}
 	lt.began(en)
 	ac := lt.account(en.ID)
 	ac.inFlight++
@@ -82,5 +85,5 @@
 	}
 	ac.recordOutcome(ou, ti.tracker.Clock.Now())
 	ti.tracker.recordZoneOutcome(ti.endpoint.Zone, ou)
-	ti.recordEndpoint(ou)
+	ti.recordEnd(ou)
 }
--- a/internal/placement/zonefailure.go
+++ b/internal/placement/zonefailure.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"maps"
 	"time"
 
 	"filbertstall.example/filbertstall/internal/roster"
@@ -38,14 +39,16 @@
 	failedAt map[string]time.Time
 }
 
-// record records the outcome of an attempt. It returns true if the zone is failing from
-// now on.
-func (zf *zoneFailures) record(en roster.Endpoint, ou Outcome, now time.Time) (FailingZone, bool) {
+// record records the outcome of an attempt. A success or a refusal ends the failures from
+// before the request was sent. It returns true if the zone is failing from now on.
+func (zf *zoneFailures) record(en roster.Endpoint, ou Outcome, sent, now time.Time) (FailingZone, bool) {
 	key := zoneKey{en.Service, en.Zone}
 	switch ou {
 	case Unreachable:
 	case Done, Failed, Refused:
-		delete(*zf, key)
+		if fa := (*zf)[key]; fa != nil {
+			fa.drop(sent)
+		}
 		return FailingZone{}, false
 	default:
 		return FailingZone{}, false
@@ -64,13 +67,14 @@
 	return FailingZone{Service: en.Service, Zone: en.Zone, Endpoints: count}, before < failingEndpoints && count >= failingEndpoints
 }
 
+// drop drops the failures up to a time.
+func (fa *zoneFailure) drop(until time.Time) {
+	maps.DeleteFunc(fa.failedAt, func(_ string, at time.Time) bool { return !at.After(until) })
+}
+
 // count returns the number of endpoints that failed lately, and drops the others.
 func (fa *zoneFailure) count(now time.Time) int {
-	for id, at := range fa.failedAt {
-		if now.Sub(at) >= zoneFailurePeriod {
-			delete(fa.failedAt, id)
-		}
-	}
+	fa.drop(now.Add(-zoneFailurePeriod))
 	return len(fa.failedAt)
 }
 
