--- a/internal/outlier/detector.go
+++ b/internal/outlier/detector.go
@@ -30,7 +30,7 @@
 const (
 	// The time for which a process is set aside doubles from initialEjection up to
 	// maxEjection with each failed probe.
-	initialEjection = 500 * time.Millisecond
+	initialEjection = 250 * time.Millisecond
 	maxEjection     = 8 * time.Second
 	// ejectionMemory is the time without a failure after which a process is forgotten.
 	ejectionMemory = 30 * time.Second
@@ -84,6 +84,8 @@
 	lastFailure time.Time
 	// doubtedUntil is zero if the last request known of succeeded.
 	doubtedUntil time.Time
+	// unsent is set while other instances have not been told what this one saw.
+	unsent bool
 	// probing is set while a request of this instance is at the process.
 	probing bool
 }
@@ -91,8 +93,9 @@
 // isDoubtful reports whether a success changes the judgement on a process.
 func (pr *process) isDoubtful() bool { return pr.ejected || !pr.doubtedUntil.IsZero() }
 
-// Record records the outcome of a request at an endpoint.
-func (de *Detector) Record(en roster.Endpoint, ou placement.Outcome) {
+// Record implements placement.Outliers. A success counts from when its request was sent: one
+// that was under way before a failure doesn't show that the endpoint works again.
+func (de *Detector) Record(en roster.Endpoint, ou placement.Outcome, sent time.Time) {
 	sg := signOf(ou)
 	if de.tracked.Load() == 0 && sg != failure {
 		return
@@ -117,14 +120,14 @@
 	if sg == failure {
 		si.failures = appendTime(si.failures, now)
 	} else {
-		si.successes = appendTime(si.successes, now)
+		si.successes = appendTime(si.successes, sent)
 	}
 	pr.seen[de.Instance] = si
 	isNews := sg == failure || pr.isDoubtful()
 	de.review(pr, now)
 	if isNews {
 		// Other successes are told with the next regular message.
-		de.unsent = true
+		de.unsent, pr.unsent = true, true
 		de.wake()
 	}
 }
