--- a/internal/spillover/fleet_test.go
+++ b/internal/spillover/fleet_test.go
@@ -51,8 +51,6 @@
 	unreachable int
 	// shares has the mean share of each zone every 100 ms.
 	shares map[string][]float64
-	// apart is the greatest difference between the shares of two instances of a zone.
-	apart float64
 }
 
 type instance struct {
@@ -251,23 +249,13 @@
 
 // sample records the shares.
 func (fl *fleet) sample() {
-	sums, counts, least, most := make(map[string]float64), make(map[string]float64), make(map[string]float64), make(map[string]float64)
+	sums, counts := make(map[string]float64), make(map[string]float64)
 	for _, in := range fl.instances {
-		sv := in.controller.services["s"]
-		if sv == nil || sv.zones[in.zone] == nil || fl.clock.Now().Sub(sv.evaluated) > time.Second {
-			continue
-		}
-		share := sv.zones[in.zone].share
-		if counts[in.zone] == 0 {
-			least[in.zone], most[in.zone] = share, share
-		}
-		sums[in.zone] += share
+		sums[in.zone] += in.controller.services["s"].zones[in.zone].share
 		counts[in.zone]++
-		least[in.zone], most[in.zone] = min(least[in.zone], share), max(most[in.zone], share)
 	}
 	for _, zone := range fl.zones {
-		fl.shares[zone] = append(fl.shares[zone], sums[zone]/max(counts[zone], 1))
-		fl.apart = max(fl.apart, most[zone]-least[zone])
+		fl.shares[zone] = append(fl.shares[zone], sums[zone]/counts[zone])
 	}
 }
 
@@ -277,7 +265,6 @@
 	clear(fl.inTime)
 	clear(fl.total)
 	clear(fl.shares)
-	fl.apart = 0
 }
 
 // left returns the part of a zone's requests that left it.
