spillover: long streams leave again when waits differ much

Cause: the cap of the share (as many requests as the lenders' room lets in beside the zone's own slots, about half) met the rule that only short answers leave up to a share of a half, so long ones hardly left at all. The cap now holds for plain services only, for which it was made; requests to engines still compare loads, and lenders keep their allowance.

--- a/internal/spillover/share.go
+++ b/internal/spillover/share.go
@@ -201,15 +201,19 @@
 	return excess
 }
 
-// lent returns the share of a zone's requests at which its lenders' room, beside what
-// they keep for their own callers, is used like the zone's own slots, if the given
-// number of zones divides that room.
+// lent returns the share of a zone's requests for which its lenders have room beside what
+// they keep for their own callers, if the given number of zones divides it. Requests to
+// engines still compare loads; of calls to plain services exactly the share leaves, so
+// that it is the one at which the room is used like the zone's own slots.
 func (sv *service) lent(zo *zone, zones int) float64 {
 	room := 0.0
 	for _, name := range zo.lenders {
 		le := sv.zones[name]
 		room += (le.freeShare() - lenderAllowance) * float64(le.load.Slots) / float64(zones)
 	}
+	if zo.load.MemoryTokens > 0 {
+		return room / float64(max(zo.load.Running, 1))
+	}
 	return room / max(room+float64(zo.load.Slots), 1)
 }
 
