reservation: let one instance of a zone choose engines for all of it

Cause: 15 to 17 of 100 streams of the two new sites meet a prompt that began to be read at the same engine less than half a second before, half of them less than 60 ms, while others are free: 95 instances hear of each other's requests too late.

Change: instances of zones with four or more ask one of them, by rank, for the engine of a request. What it gives out counts as load there until the asker's load message names it as included, or for a second. Engines of another zone come from that zone's allocator. Without an answer in 80 ms an instance chooses by itself, and does not ask again for a second. Engines that two instances can't reach are given to nobody.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -8,6 +8,7 @@
 	"filbertstall.example/filbertstall/internal/backpressure"
 	"filbertstall.example/filbertstall/internal/placement"
 	"filbertstall.example/filbertstall/internal/refusal"
+	"filbertstall.example/filbertstall/internal/reservation"
 	"filbertstall.example/filbertstall/internal/roster"
 	"filbertstall.example/filbertstall/internal/routing"
 	"filbertstall.example/filbertstall/internal/suspicion"
@@ -54,6 +55,8 @@
 	demand   placement.Demand
 	// permit allows to send the request to the endpoint once.
 	permit *backpressure.Permit
+	// grant is the place that the zone's allocator granted. It is nil if there is none.
+	grant *reservation.Grant
 	// standby is nil if no standby copy of the run is kept.
 	standby *standby
 }
@@ -87,6 +90,7 @@
 		at.MaxIdle = maxIdleIdempotent
 	}
 	ti := di.Tracker.Begin(en, de.demand)
+	de.grant.Settle()
 	ti.OnEnd(de.permit.Release)
 	an, err := di.Gate.Do(ctx, de.permit, di.Codec.Call(ta.Request, at))
 	if err != nil {
--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -50,15 +50,16 @@
 	}
 	exclude := di.withUnreachable(ta)
 	for {
-		ch, found := di.Tracker.Choose(ready, dm, exclude)
+		ch, gr, found := di.choosePlace(ctx, ta, dm, ready, exclude)
 		if !found {
 			return di.awaitEndpoint(ctx, ta, dm, ready)
 		}
 		pe, err := di.Gate.Request(ctx, ch.Endpoint, di.terms(ta, ch.Endpoint, 0))
 		if err == nil {
 			di.logPlacement(ta, ch, len(ready))
-			return destination{endpoint: ch.Endpoint, demand: dm, permit: pe}, nil
+			return destination{endpoint: ch.Endpoint, demand: dm, permit: pe, grant: gr}, nil
 		}
+		gr.Settle()
 		exclude = withID(exclude, ch.Endpoint.ID)
 	}
 }
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -50,6 +50,9 @@
 	// requests if there are none. If they are nil, all requests are served here.
 	Paths     Paths
 	Forwarder Forwarder
+	// Reserver chooses engines for all instances of the zone. If it is nil, each
+	// instance chooses by the loads that it knows.
+	Reserver Reserver
 	// Meter records metrics. If nil, none are recorded.
 	Meter *Meter
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -31,6 +31,7 @@
 	"filbertstall.example/filbertstall/internal/ratelimit"
 	"filbertstall.example/filbertstall/internal/reachability"
 	"filbertstall.example/filbertstall/internal/relay"
+	"filbertstall.example/filbertstall/internal/reservation"
 	"filbertstall.example/filbertstall/internal/roster"
 	"filbertstall.example/filbertstall/internal/routing"
 	"filbertstall.example/filbertstall/internal/snapshot"
@@ -111,6 +112,8 @@
 	limiter     ratelimit.Limiter
 	// slots gives out the slots of brittle endpoints.
 	slots concurrency.Allocator
+	// engines chooses engines for the instances of the zone.
+	engines reservation.Allocator
 	// suspectLimiter paces requests with features that may crash endpoints.
 	suspectLimiter ratelimit.Limiter
 	paths          reachability.Tracker
--- a/internal/gateway/share.go
+++ b/internal/gateway/share.go
@@ -11,6 +11,7 @@
 	"filbertstall.example/filbertstall/internal/peer"
 	"filbertstall.example/filbertstall/internal/ratelimit"
 	"filbertstall.example/filbertstall/internal/relay"
+	"filbertstall.example/filbertstall/internal/reservation"
 	"filbertstall.example/filbertstall/internal/suspicion"
 )
 
@@ -23,10 +24,13 @@
 		Conn: li.peers, Instance: se.Instance, Zone: se.Zone, Tracker: &gw.tracker, Members: &gw.members, MoveOrder: &gw.moveOrder, Clock: gw.Clock, Log: gw.Log,
 		Statements: &gw.signals, Suspects: gw.suspects, Paths: &gw.paths, Heard: gw.peers.Heard,
 	}
+	reserver := gw.reserver()
+	di.Reserver, exchange.Grants = reserver, reserver
 	peers := &peer.Server{Listener: li.calls}
 	err := errors.Join(
 		peers.Register(relay.ServiceName, gw.relay.Service()), peers.Register(suspicion.ServiceName, gw.suspects.Service()),
 		peers.Register(ratelimit.ServiceName, gw.allocator.Service()), peers.Register(concurrency.ServiceName, gw.slots.Service()),
+		peers.Register(reservation.ServiceName, gw.engines.Service()),
 	)
 	if err != nil {
 		// Register fails only for a service without suitable methods.
--- a/internal/gateway/signals.go
+++ b/internal/gateway/signals.go
@@ -16,6 +16,7 @@
 	gw.allocator = ratelimit.Allocator{Peers: &gw.peers, Boot: gw.Boot}
 	gw.limiter = ratelimit.Limiter{Peers: &gw.peers, Allocator: &gw.allocator, Caller: &peer.Client{}, Boot: gw.Boot, Scope: gw.metrics.Scope}
 	gw.suspectLimiter = ratelimit.Limiter{Peers: &gw.peers, Allocator: &gw.allocator, Caller: &peer.Client{}, Boot: gw.Boot}
+	gw.buildEngines()
 	gw.slots = concurrency.Allocator{Peers: &gw.peers, Boot: gw.Boot}
 	slots := &concurrency.Limiter{Peers: &gw.peers, Allocator: &gw.slots, Caller: &peer.Client{}, Boot: gw.Boot}
 	gw.gate = backpressure.Gate{Slots: slots, Transport: &gw.pool, Decode: gw.Adapter.Codec.Signal, Registry: &gw.signals, Limiter: &gw.limiter}
@@ -38,6 +39,7 @@
 	gw.limiter.Forget(known)
 	gw.allocator.Prune()
 	gw.slots.Prune()
+	gw.engines.Prune()
 	if !gw.suspects.HasSuspects() {
 		gw.suspectLimiter.Forget(func(string) bool { return false })
 	}
--- a/internal/loadshare/exchange.go
+++ b/internal/loadshare/exchange.go
@@ -57,6 +57,9 @@
 	// Paths supplies the services whose endpoints this instance cannot reach, and
 	// receives those of others. Nil exchanges none.
 	Paths Paths
+	// Grants supplies the grants that the loads of this instance include, and receives
+	// those of others. Nil exchanges none.
+	Grants Grants
 	// Heard is called with the name of the sender of each message. It may be nil.
 	Heard func(instance string)
 	Clock clockwork.Clock
@@ -124,6 +127,7 @@
 			sameZone = append(sameZone, otherZones...)
 		}
 		me.Sequence++
+		me.Settled = settledOf(ex.Grants)
 		me.Loads, me.Moves = ex.Tracker.Loads(), moves
 		data := encode(me)
 		for _, to := range sameZone {
@@ -222,6 +226,7 @@
 		ex.Heard(me.Instance)
 	}
 	ex.Tracker.SetRemoteLoads(me.Instance, me.Loads)
+	ex.settle(me.Settled)
 	ex.MoveOrder.apply(me.Instance, me.Moves)
 }
 
--- a/internal/loadshare/message.go
+++ b/internal/loadshare/message.go
@@ -23,6 +23,9 @@
 	// Moves has the number of runs that the sender has still to move off each
 	// engine, by endpoint ID.
 	Moves map[string]int
+	// Settled are grants of allocators that Loads include, or that the sender does not
+	// use. The list is left out if it is empty.
+	Settled []uint64
 }
 
 const (
@@ -59,6 +62,12 @@
 		data = appendString(data, id)
 		data = binary.AppendUvarint(data, uint64(max(me.Moves[id], 0)))
 	}
+	if len(me.Settled) > 0 {
+		data = binary.AppendUvarint(data, uint64(len(me.Settled)))
+		for _, id := range me.Settled {
+			data = binary.BigEndian.AppendUint64(data, id)
+		}
+	}
 	return data
 }
 
@@ -93,6 +102,11 @@
 		id := re.stringValue()
 		me.Moves[id] = re.count()
 	}
+	if len(re.data) > 0 {
+		for range re.listLength() {
+			me.Settled = append(me.Settled, re.fixed())
+		}
+	}
 	if re.malformed || len(re.data) > 0 || me.Instance == "" {
 		return message{}, ErrMalformed
 	}
@@ -116,6 +130,18 @@
 	return number
 }
 
+// fixed reads a number of eight bytes.
+func (re *reader) fixed() uint64 {
+	const size = 8
+	if len(re.data) < size {
+		re.malformed, re.data = true, nil
+		return 0
+	}
+	number := binary.BigEndian.Uint64(re.data)
+	re.data = re.data[size:]
+	return number
+}
+
 // count reads a count. Values above maxCount make the datagram malformed.
 func (re *reader) count() int {
 	number := re.uvarint()
--- /dev/null
+++ b/internal/ratelimit/zone.go
@@ -0,0 +1,62 @@
+package ratelimit
+
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"filbertstall.example/filbertstall/internal/loadshare"
+)
+
+// strongLink is the bandwidth, in Mbit/s, from which on an instance's link does not
+// matter for its rank in a zone.
+const strongLink = 50
+
+// ZoneView is how an instance sees the instances of one availability zone.
+type ZoneView struct {
+	// Allocator is the instance of the zone that decides for the others. It is nil if
+	// no instance of the zone is alive.
+	Allocator *loadshare.Member
+	// Settled is set as in View.
+	Settled bool
+	// Alive is the number of instances of the zone that are alive.
+	Alive int
+}
+
+// Zone returns the view of the instances of a zone. The allocator is the one with the
+// highest rank for key: a strong link, then a hash. All that hear of the same instances
+// agree on it.
+func (pe *Peers) Zone(zone, key string) ZoneView {
+	now := pe.Boot.Now()
+	list := pe.Members.List()
+	pe.mu.Lock()
+	defer pe.mu.Unlock()
+	pe.check(now)
+	vi := ZoneView{Settled: now-pe.awakeSince >= silence}
+	var best zoneRank
+	for ix, me := range list {
+		if me.Zone != zone {
+			continue
+		}
+		if alive, _ := pe.status(me, now); !alive {
+			continue
+		}
+		vi.Alive++
+		ra := zoneRank{link: min(me.LinkMbps, strongLink), hash: xxhash.Sum64String(key + "/" + me.Name)}
+		if vi.Allocator == nil || best.before(ra) {
+			vi.Allocator, best = &list[ix], ra
+		}
+	}
+	return vi
+}
+
+// zoneRank orders the instances of a zone.
+type zoneRank struct {
+	link int
+	hash uint64
+}
+
+func (ra zoneRank) before(other zoneRank) bool {
+	if ra.link != other.link {
+		return ra.link < other.link
+	}
+	return ra.hash < other.hash
+}
