reservation: requests that can be on time first, and no answer is lost between two calls

Cause: by deadline alone, requests that had begun to be late stood in front of those that could still be on time; refused callers came back as new ones; an answer that was found between two calls of a waiting request was lost for it; a request with few engines to choose from held up all others.

Change: a request counts as late once its prompt can't be read in time any more, by its caller's first attempt, and late ones of a priority come after the others. They may wait longer: three quarters of the time, three times the objective. Answers are kept until they are fetched. Requests that may get less than half of the engines have lanes of their own. The time that has passed counts when a request asks again.

--- a/internal/dispatch/reserve.go
+++ b/internal/dispatch/reserve.go
@@ -59,6 +59,14 @@
 	return xxhash.Sum64String(ta.team + "/" + ta.route.Name + "/" + parts[len(parts)-1].ID + "/" + strconv.Itoa(ta.Prompt.Tokens))
 }
 
+const (
+	// maxReservationShare is the part of a request's remaining time that it may wait for an
+	// engine, and maxReservationObjectives the longest wait as a multiple of its route's
+	// objective. Requests that wait for longer than the objective come after all others.
+	maxReservationShare      = 0.75
+	maxReservationObjectives = 3
+)
+
 // maxRetryPart limits Retry-After to this part of the remaining time, doubled by its
 // spread.
 const maxRetryPart = 6
@@ -71,10 +79,10 @@
 	re := reservation.Request{
 		ID: ta.ID, Service: ta.service.Name, Engine: *dm.Engine, Prompt: dm.Prompt, Output: dm.Output,
 		Team: ta.team, Priority: ta.priority, Key: ta.keyOf(), OnTime: ta.Arrived.Add(ta.route.Objective).Sub(now), Remaining: remaining,
-		MaxWait: time.Duration(maxWaitShare * float64(remaining)),
+		MaxWait: time.Duration(maxReservationShare * float64(remaining)),
 	}
 	if objective := ta.route.Objective; objective > 0 {
-		re.MaxWait = min(re.MaxWait, maxObjectives*objective)
+		re.MaxWait = min(re.MaxWait, maxReservationObjectives*objective)
 	}
 	re.Unreachable, re.Exclude = di.Tracker.Unusable(ready)
 	for id := range exclude {
--- a/internal/placement/pending.go
+++ b/internal/placement/pending.go
@@ -1,6 +1,10 @@
 package placement
 
-import "filbertstall.example/filbertstall/internal/roster"
+import (
+	"time"
+
+	"filbertstall.example/filbertstall/internal/roster"
+)
 
 // AddPending counts a request towards the load of an engine that another instance will
 // send there, until RemovePending is called with the same demand. It is not reported to
@@ -64,5 +68,10 @@
 	return unreachable, unwilling
 }
 
+// ReadTime returns the time that an engine takes to read the prompt.
+func (dm Demand) ReadTime() time.Duration {
+	return time.Duration(float64(dm.Prompt) / prefillTokensPerMillisecond * float64(time.Millisecond))
+}
+
 // ZoneCost returns what an engine in another zone costs in addition.
 func (dm Demand) ZoneCost() float64 { return dm.remoteZoneCost() }
--- a/internal/reservation/allocator.go
+++ b/internal/reservation/allocator.go
@@ -89,6 +89,9 @@
 	}
 	select {
 	case re = <-wa.answer:
+		al.mu.Lock()
+		defer al.mu.Unlock()
+		delete(al.line(ar.Request.Service).answered, ar.Request.ID)
 		return re
 	case <-al.Clock.After(min(ar.Hold, maxHold)):
 		return TakeReply{Decision: Waiting}
@@ -105,8 +108,7 @@
 	defer al.mu.Unlock()
 	al.expire()
 	now, li := al.Boot.Now(), al.line(ar.Request.Service)
-	if wa := li.waiting[ar.Request.ID]; wa != nil {
-		wa.renewed = now
+	if wa := li.fetch(ar.Request.ID, now); wa != nil {
 		return TakeReply{}, wa
 	}
 	if ar.Foreign || ar.Request.MaxWait <= 0 {
@@ -127,14 +129,16 @@
 	}
 	if len(li.waiting) > 0 {
 		if wait := li.expectedWait(ar.Request, now); wait > ar.Request.MaxWait || len(li.waiting) >= maxWaiting {
-			li.returned.add(ar.Request.Key, now)
+			li.returned.add(ar.Request.Key, ar.Request.startBy(now), now)
 			return TakeReply{Decision: Full, After: wait}, nil
 		}
 	}
+	ar.narrow = 2*len(ar.Request.Exclude) > len(al.Ready(ar.Request.Service))
 	wa := li.add(ar, now)
 	li.serve(now, al.grantRoom)
 	select {
 	case re := <-wa.answer:
+		delete(li.answered, ar.Request.ID)
 		return re, nil
 	default:
 	}
@@ -149,8 +153,14 @@
 func (al *Allocator) Leave(ar LeaveArgs) {
 	al.mu.Lock()
 	defer al.mu.Unlock()
-	if li := al.lines[ar.Service]; li != nil {
-		li.remove(ar.ID)
+	li := al.lines[ar.Service]
+	if li == nil {
+		return
+	}
+	li.remove(ar.ID)
+	if wa := li.answered[ar.ID]; wa != nil {
+		delete(li.answered, ar.ID)
+		al.grants.settle((<-wa.answer).Grant)
 	}
 }
 
@@ -186,7 +196,7 @@
 	al.expire()
 	now := al.Boot.Now()
 	for service, li := range al.lines {
-		if len(li.waiting) == 0 && now-li.grants.at > returnedLifetime {
+		if len(li.waiting)+len(li.answered) == 0 && now-li.grants.at > returnedLifetime {
 			delete(al.lines, service)
 		}
 	}
--- a/internal/reservation/client.go
+++ b/internal/reservation/client.go
@@ -134,7 +134,11 @@
 // take asks the allocator of the own zone, again and again as long as the request waits
 // there. The result is Waiting only if the caller left.
 func (as *asking) take() (TakeReply, string) {
+	re := &as.args.Request
+	onTime, remaining, maxWait := re.OnTime, re.Remaining, re.MaxWait
 	for {
+		past := as.cl.Boot.Now() - as.begun
+		re.OnTime, re.Remaining, re.MaxWait = onTime-past, remaining-past, max(maxWait-past, min(maxWait, time.Millisecond))
 		reply, why := as.ask()
 		if reply.Decision != Waiting || as.ctx.Err() != nil {
 			return reply, why
--- a/internal/reservation/line.go
+++ b/internal/reservation/line.go
@@ -24,27 +24,49 @@
 )
 
 // line has the requests that wait for the engines of a service. Requests with a smaller
-// priority number come first. Those of one priority are in two lanes, so that short ones
-// need not wait for the room of a long one. In a lane, the team that used the fewest
+// priority number come first, and of one priority those whose answer can be on time. Those
+// of one rank are in two lanes, so that short ones need not wait for the room of a long one. In a lane, the team that used the fewest
 // tokens comes first, and of its requests those that were refused before, and then that
 // with the earliest deadline. A line is not safe for concurrent use.
 type line struct {
 	lanes   map[laneKey]*lane
 	waiting map[string]*waiter
-	grants  rate
+	// answered has the requests whose answer their instances have not fetched yet.
+	answered map[string]*waiter
+	grants   rate
 	// blocked is set if the last request that was looked at found no room.
 	blocked  bool
 	returned returned
 }
 
+// rank orders lanes.
+type rank struct {
+	priority int
+	// late is set for requests whose answer will be late.
+	late bool
+}
+
+func (ra rank) compare(other rank) int {
+	if order := cmp.Compare(ra.priority, other.priority); order != 0 || ra.late == other.late {
+		return order
+	}
+	if ra.late {
+		return 1
+	}
+	return -1
+}
+
 // laneKey identifies a lane.
 type laneKey struct {
-	priority int
-	long     bool
+	rank
+	long bool
+	// narrow is set for requests that few engines may get, for which others don't wait.
+	narrow bool
 }
 
 type lane struct {
 	queue.Queue[*waiter]
+	narrow bool
 	// passes is the number of requests of the other lane that were granted while the head
 	// of this one waited.
 	passes  int
@@ -54,8 +76,14 @@
 // waiter is a request that waits for an engine.
 type waiter struct {
 	args  TakeArgs
+	key   laneKey
 	lane  *lane
 	until time.Duration
+	// startBy is when it must get an engine for an answer that is on time, and endsAt when
+	// nobody waits for it any more.
+	startBy, endsAt time.Duration
+	// returned is set if the request was refused before.
+	returned bool
 	// renewed is when its instance asked last.
 	renewed time.Duration
 	// answer receives the decision.
@@ -63,35 +91,40 @@
 }
 
 func newLine() *line {
-	return &line{lanes: make(map[laneKey]*lane), waiting: make(map[string]*waiter), returned: make(returned)}
+	return &line{lanes: make(map[laneKey]*lane), waiting: make(map[string]*waiter), answered: make(map[string]*waiter), returned: make(returned)}
 }
 
 // add puts a request into its lane.
 func (li *line) add(ar TakeArgs, now time.Duration) *waiter {
 	re := &ar.Request
-	ke := laneKey{priority: re.Priority, long: re.Output > shortOutput}
-	la := li.lanes[ke]
-	if la == nil {
-		la = &lane{}
-		li.lanes[ke] = la
+	wa := &waiter{args: ar, until: now + re.MaxWait, endsAt: now + re.Remaining, renewed: now, answer: make(chan TakeReply, 1)}
+	wa.key = laneKey{rank: rank{priority: re.Priority}, long: re.Output > shortOutput, narrow: ar.narrow}
+	wa.startBy = re.startBy(now)
+	if before, known := li.returned.find(re.Key, now); known {
+		// It returns: what counts for its caller is its first attempt.
+		wa.startBy, wa.returned = min(wa.startBy, before.startBy), true
 	}
-	wa := &waiter{args: ar, lane: la, until: now + re.MaxWait, renewed: now, answer: make(chan TakeReply, 1)}
 	li.waiting[re.ID] = wa
-	la.Push(queue.Item[*waiter]{ID: re.ID, Team: re.Team, Deadline: moment(li.orderOf(re, now)), Arrived: moment(now), ExpiresAt: moment(wa.until), Value: wa})
+	li.push(wa, now)
 	return wa
 }
 
-// orderOf returns the time by which a request is ordered among those of its team: when
-// its answer begins to be late, or, if it is late, when nobody waits for it any more.
-func (li *line) orderOf(re *Request, now time.Duration) time.Duration {
-	order := now + re.OnTime
-	if re.OnTime <= 0 {
-		order = now + re.Remaining
+// push puts a request into its place. Those of a team are ordered by when they must get
+// an engine to be on time, late ones by when nobody waits for them any more.
+func (li *line) push(wa *waiter, now time.Duration) {
+	re, order := &wa.args.Request, wa.startBy
+	if wa.key.late = now > wa.startBy; wa.key.late {
+		order = wa.endsAt
+	}
+	wa.lane = li.lanes[wa.key]
+	if wa.lane == nil {
+		wa.lane = &lane{narrow: wa.key.narrow}
+		li.lanes[wa.key] = wa.lane
 	}
-	if li.returned.has(re.Key, now) {
+	if wa.returned {
 		order -= returnedLead
 	}
-	return order
+	wa.lane.Push(queue.Item[*waiter]{ID: re.ID, Team: re.Team, Deadline: moment(order), Arrived: moment(now), Value: wa})
 }
 
 // moment returns a time of the boot clock in the form that queue wants.
@@ -112,20 +145,44 @@
 		switch {
 		case now >= wa.until:
 			wa.answer <- TakeReply{Decision: Full, After: li.expectedWait(wa.args.Request, now)}
-			li.returned.add(wa.args.Request.Key, now)
-		case now-wa.renewed <= renewal:
+			li.returned.add(wa.args.Request.Key, wa.startBy, now)
+			li.answered[id] = wa
+		case now-wa.renewed > renewal:
+		case !wa.key.late && now > wa.startBy:
+			wa.lane.Remove(id)
+			li.push(wa, now)
+			continue
+		default:
 			continue
 		}
 		li.remove(id)
 	}
+	for id, wa := range li.answered {
+		if now-wa.renewed > 2*renewal {
+			delete(li.answered, id)
+		}
+	}
+}
+
+// fetch returns a request that waits, or whose answer its instance fetches now.
+func (li *line) fetch(id string, now time.Duration) *waiter {
+	wa := li.waiting[id]
+	if wa == nil {
+		wa = li.answered[id]
+		delete(li.answered, id)
+	}
+	if wa != nil {
+		wa.renewed = now
+	}
+	return wa
 }
 
 // serve gives engines to waiting requests, in order, as long as grant has room for them.
 // grant returns false if it has none for a request.
 func (li *line) serve(now time.Duration, grant func(ar *TakeArgs) (TakeReply, bool)) {
 	li.expire(now)
-	for _, priority := range li.priorities() {
-		lanes := li.lanesOf(priority)
+	for _, ra := range li.ranks() {
+		lanes := li.lanesOf(ra)
 		for _, la := range lanes {
 			la.blocked = false
 		}
@@ -135,7 +192,7 @@
 			re, found := grant(&wa.args)
 			if !found {
 				la.blocked = true
-				if la.passes >= maxPasses {
+				if la.exhausted() {
 					break
 				}
 				continue
@@ -143,7 +200,7 @@
 			li.grant(wa, re, now)
 			notePass(lanes, la)
 		}
-		li.blocked = slices.ContainsFunc(lanes, func(la *lane) bool { return la.blocked })
+		li.blocked = slices.ContainsFunc(lanes, func(la *lane) bool { return la.blocked && !la.narrow })
 		if li.blocked {
 			// What is less urgent must not take the room for which these wait.
 			return
@@ -156,26 +213,28 @@
 	wa.lane.passes = 0
 	wa.lane.Pop(float64(wa.args.Request.Prompt + wa.args.Request.Output))
 	delete(li.waiting, wa.args.Request.ID)
+	li.answered[wa.args.Request.ID] = wa
 	li.grants.add(now)
 	wa.answer <- re
 }
 
-// priorities returns the priorities of requests that wait, the most urgent first.
-func (li *line) priorities() []int {
-	var list []int
+// ranks returns the ranks of requests that wait, in order.
+func (li *line) ranks() []rank {
+	var list []rank
 	for ke, la := range li.lanes {
-		if la.Len() > 0 && !slices.Contains(list, ke.priority) {
-			list = append(list, ke.priority)
+		if la.Len() > 0 && !slices.Contains(list, ke.rank) {
+			list = append(list, ke.rank)
 		}
 	}
-	slices.Sort(list)
+	slices.SortFunc(list, rank.compare)
 	return list
 }
 
-func (li *line) lanesOf(priority int) []*lane {
+func (li *line) lanesOf(ra rank) []*lane {
 	var list []*lane
-	for _, long := range []bool{false, true} {
-		if la := li.lanes[laneKey{priority: priority, long: long}]; la != nil {
+	for _, ke := range []laneKey{{long: false}, {long: true}, {long: false, narrow: true}, {long: true, narrow: true}} {
+		ke.rank = ra
+		if la := li.lanes[ke]; la != nil {
 			list = append(list, la)
 		}
 	}
@@ -189,10 +248,10 @@
 	var earliest time.Time
 	for _, la := range lanes {
 		it, found := la.Head()
-		if !found || la.blocked && la.passes < maxPasses {
+		if !found || la.blocked {
 			continue
 		}
-		if la.passes >= maxPasses {
+		if la.exhausted() {
 			return la
 		}
 		if best == nil || it.Deadline.Before(earliest) {
@@ -202,6 +261,9 @@
 	return best
 }
 
+// exhausted reports whether no other request may pass the head any more.
+func (la *lane) exhausted() bool { return la.passes >= maxPasses && !la.narrow }
+
 // notePass counts a grant of one lane as a pass of the other's head.
 func notePass(lanes []*lane, granted *lane) {
 	for _, la := range lanes {
@@ -216,7 +278,7 @@
 func (li *line) expectedWait(re Request, now time.Duration) time.Duration {
 	ahead := 1.0
 	for ke, la := range li.lanes {
-		switch order := cmp.Compare(ke.priority, re.Priority); {
+		switch order := ke.compare(rank{priority: re.Priority}); {
 		case order < 0:
 			ahead += float64(la.Len())
 		case order == 0:
--- a/internal/reservation/rate.go
+++ b/internal/reservation/rate.go
@@ -39,21 +39,35 @@
 	return ra.count / rateTime.Seconds()
 }
 
-// returned has the keys of requests that were refused lately, and until when they are
-// remembered.
-type returned map[uint64]time.Duration
+// returned has the requests that were refused lately, by their keys.
+type returned map[uint64]refusedRequest
 
-func (rs returned) add(key uint64, now time.Duration) {
+// refusedRequest is a request whose caller may return.
+type refusedRequest struct {
+	// startBy is when it had to get an engine to be on time, at its first attempt.
+	startBy time.Duration
+	until   time.Duration
+}
+
+// add remembers a request that is refused.
+func (rs returned) add(key uint64, startBy, now time.Duration) {
 	if len(rs) >= maxReturned {
-		for other, until := range rs {
-			if now > until {
+		for other, re := range rs {
+			if now > re.until {
 				delete(rs, other)
 			}
 		}
 	}
+	if before, known := rs.find(key, now); known {
+		startBy = min(startBy, before.startBy)
+	}
 	if key != 0 && len(rs) < maxReturned {
-		rs[key] = now + returnedLifetime
+		rs[key] = refusedRequest{startBy: startBy, until: now + returnedLifetime}
 	}
 }
 
-func (rs returned) has(key uint64, now time.Duration) bool { return now <= rs[key] && key != 0 }
+// find returns what is remembered of a request, and whether there is something.
+func (rs returned) find(key uint64, now time.Duration) (refusedRequest, bool) {
+	re, known := rs[key]
+	return re, known && now <= re.until
+}
--- a/internal/reservation/request.go
+++ b/internal/reservation/request.go
@@ -39,6 +39,11 @@
 	return placement.Demand{Engine: &re.Engine, Prompt: re.Prompt, Output: re.Output}
 }
 
+// startBy returns when the request must get an engine for an answer that is on time.
+func (re *Request) startBy(now time.Duration) time.Duration {
+	return now + re.OnTime - re.demand().ReadTime()
+}
+
 // TakeArgs asks an allocator for an engine.
 type TakeArgs struct {
 	Request Request
@@ -56,6 +61,9 @@
 	Within  bool
 	Foreign bool
 	MaxCost float64
+
+	// narrow is set by the allocator if few engines may get the request.
+	narrow bool
 }
 
 // Decision is what an allocator does with a request.
--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -48,6 +48,10 @@
 	Detail    string `json:"detail"`
 	Zone      string `json:"zone"`
 	Events    int    `json:"events"`
+	// Allocator is the instance that granted an engine, and Waited the time until then,
+	// in milliseconds.
+	Allocator string  `json:"allocator"`
+	Waited    float64 `json:"waited"`
 	// Rate is a rate limit in requests per second.
 	Rate    float64 `json:"rate"`
 	Message string  `json:"message"`
@@ -67,6 +71,9 @@
 			parts = append(parts, fi.name+"="+fi.value)
 		}
 	}
+	if li.Allocator != "" {
+		parts = append(parts, fmt.Sprintf("allocator=%s waited=%.0fms", li.Allocator, li.Waited))
+	}
 	if li.Rate > 0 {
 		parts = append(parts, fmt.Sprintf("rate=%g", li.Rate))
 	}
--- a/internal/trace/trace_test.go
+++ b/internal/trace/trace_test.go
@@ -52,6 +52,8 @@
 	g := NewWithT(t)
 	g.Expect(found).To(BeTrue())
 	g.Expect(li.String()).To(Equal("00:00:01.000 i refused reason=timed_out"))
+	li, _ = parse([]byte(`{"time":1000,"instance":"i","event":"reservation_granted","endpoint":"e1","allocator":"i2","waited":512.3}`))
+	g.Expect(li.String()).To(Equal("00:00:01.000 i reservation_granted endpoint=e1 allocator=i2 waited=512ms"))
 }
 
 func FuzzParse(f *testing.F) {
