--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -52,8 +52,11 @@
 	}
 	exclude := di.withUnreachable(ta)
 	for {
-		ch, found := di.Tracker.Choose(ready, dm, exclude)
-		if !found {
+		ch, gr, er := di.choosePlace(ctx, ta, dm, ready, exclude)
+		if er != nil {
+			return destination{}, er
+		}
+		if ch.Endpoint.ID == "" {
 			if others, differ := di.leaveTrial(ta, ready, usable); differ {
 				ready = others
 				continue
@@ -63,8 +66,9 @@
 		pe, err := di.Gate.Request(ctx, ch.Endpoint, di.terms(ta, ch.Endpoint, 0))
 		if err == nil {
 			di.logPlacement(ta, ch, len(ready))
-			return destination{endpoint: ch.Endpoint, demand: dm, permit: pe}, nil
+			return destination{endpoint: ch.Endpoint, demand: dm, permit: pe, grant: gr}, nil
 		}
+		gr.Settle()
 		exclude = withID(exclude, ch.Endpoint.ID)
 	}
 }
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -52,6 +52,9 @@
 	Forwarder Forwarder
 	// Rollouts decides which versions requests may use. If it is nil, all are used.
 	Rollouts Rollouts
+	// Reserver chooses engines for all instances of the zone. If it is nil, each
+	// instance chooses by the loads that it knows.
+	Reserver Reserver
 	// Meter records metrics. If nil, none are recorded.
 	Meter *Meter
 
--- a/internal/gateway/share.go
+++ b/internal/gateway/share.go
@@ -11,6 +11,7 @@
 	"filbertstall.example/filbertstall/internal/peer"
 	"filbertstall.example/filbertstall/internal/ratelimit"
 	"filbertstall.example/filbertstall/internal/relay"
+	"filbertstall.example/filbertstall/internal/reservation"
 	"filbertstall.example/filbertstall/internal/suspicion"
 )
 
@@ -26,10 +27,13 @@
 	if gw.rollouts != nil {
 		exchange.Rollouts, gw.rollouts.exchange = gw.rollouts, exchange
 	}
+	reserver := gw.reserver()
+	di.Reserver, exchange.Grants = reserver, reserver
 	peers := &peer.Server{Listener: li.calls}
 	err := errors.Join(
 		peers.Register(relay.ServiceName, gw.relay.Service()), peers.Register(suspicion.ServiceName, gw.suspects.Service()),
 		peers.Register(ratelimit.ServiceName, gw.allocator.Service()), peers.Register(concurrency.ServiceName, gw.slots.Service()),
+		peers.Register(reservation.ServiceName, gw.engines.Service()),
 	)
 	if err != nil {
 		// Register fails only for a service without suitable methods.
@@ -47,7 +51,7 @@
 		&registration{
 			registry: gw.Adapter.Registry, source: gw.Adapter.Members, members: &gw.members, self: self, known: known, clock: gw.Clock, log: gw.Log,
 		},
-		exchange, peers, gw.suspects,
+		exchange, peers, gw.suspects, &gw.engines,
 		&gw.relaySwitch,
 	)
 }
--- a/internal/loadshare/exchange.go
+++ b/internal/loadshare/exchange.go
@@ -63,6 +63,9 @@
 	// Outliers supplies the failures that this instance saw at endpoints, and receives
 	// those that others saw. Nil exchanges none.
 	Outliers Outliers
+	// Grants supplies the grants that the loads of this instance include, and receives
+	// those of others. Nil exchanges none.
+	Grants Grants
 	// Heard is called with the name of the sender of each message. It may be nil.
 	Heard func(instance string)
 	Clock clockwork.Clock
@@ -133,6 +136,7 @@
 			sameZone = append(sameZone, otherZones...)
 		}
 		me.Sequence++
+		me.Settled = settledOf(ex.Grants)
 		me.Loads, me.Moves = ex.Tracker.Loads(), moves
 		data := encode(me)
 		for _, to := range sameZone {
@@ -235,6 +239,7 @@
 		ex.Heard(me.Instance)
 	}
 	ex.Tracker.SetRemoteLoads(me.Instance, me.Loads)
+	ex.settle(me.Settled)
 	ex.MoveOrder.apply(me.Instance, me.Moves)
 }
 
