--- a/internal/reservation/settled.go
+++ b/internal/reservation/settled.go
@@ -18,9 +18,9 @@
 }
 
 // Settle tells the allocator that the request counts towards the loads of this instance,
-// or that the grant is not used. It has no effect on a nil grant.
+// or that the grant is not used. It has no effect on a nil grant, nor on one without a client, as in tests.
 func (gr *Grant) Settle() {
-	if gr == nil {
+	if gr == nil || gr.client == nil {
 		return
 	}
 	cl := gr.client
