--- a/internal/rollout/registry.go
+++ b/internal/rollout/registry.go
@@ -89,7 +89,7 @@
 			se.rollout.inUse = ve != nil && ve.known && !ve.withdrawn
 		}
 		se.removed = nil
-		re.Log.Info().Str("event", "rollout_order").Str("service", or.Service).Str("target", or.Target).Stringer("state", or.State).Msg("rollout: new order")
+		re.Log.Debug().Str("event", "rollout_order").Str("service", or.Service).Str("target", or.Target).Stringer("state", or.State).Msg("rollout: new order")
 	}
 	if ve := se.versions[or.Target]; ve != nil {
 		ve.withdrawn = false
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -68,7 +68,7 @@
 	if or.State == ro.state || !or.State.Final() && or.State < ro.state {
 		return
 	}
-	log.Info().Str("event", "rollout_state").Str("service", or.Service).Str("target", or.Target).Stringer("from", ro.state).Stringer("to", or.State).Msg("rollout: state has changed")
+	log.Debug().Str("event", "rollout_state").Str("service", or.Service).Str("target", or.Target).Stringer("from", ro.state).Stringer("to", or.State).Msg("rollout: state has changed")
 	ro.state, ro.stateAt = or.State, now
 }
 
@@ -94,14 +94,17 @@
 	ro.bad, ro.reason = true, reason
 	ro.ledger.own.Verdict = RolledBack
 	ro.ledger.unsent = true
-	log.Warn().Str("event", "rollout_bad").Str("service", ro.order.Service).Str("target", ro.order.Target).Str("reason", reason).Msg("rollout: the version is bad; not using it")
+	log.Warn().Str("event", "rollout_verdict").Str("service", ro.order.Service).Str("target", ro.order.Target).Str("reason", reason).
+		Int("sent_old", ro.ledger.sentOld).Int("sent_new", ro.ledger.sentNew).Msg("rollout: the version is bad; not using it")
 }
 
 // currentShare is the share of the requests that goes to the target.
 func (ro *rollout) currentShare(bo Bounds, now time.Time) float64 {
 	if ro.state == Promoting {
-		part := min(1, now.Sub(ro.stateAt).Seconds()/rampTime.Seconds())
-		return firstStep + (1-firstStep)*part*part
+		if ro.age(now) >= ro.order.Budget-ro.margin()-lastTime {
+			return 1
+		}
+		return firstStep + (lastStep-firstStep)*min(1, now.Sub(ro.stateAt).Seconds()/rampTime.Seconds())
 	}
 	least, found := maxShare, false
 	for _, ts := range ro.shares {
--- a/internal/rollout/stage.go
+++ b/internal/rollout/stage.go
@@ -9,10 +9,13 @@
 const (
 	// repeatAfter is the time after which Next returns the same transition again.
 	repeatAfter = 300 * time.Millisecond
-	// rampTime is the time in which the share rises from firstStep to 1 once the target
-	// was found good.
+	// rampTime is the time in which the share rises from firstStep to lastStep once the
+	// target was found good. The rest goes to the old version, for comparison, until
+	// lastTime before the end.
 	rampTime  = 1200 * time.Millisecond
 	firstStep = 0.25
+	lastStep  = 0.85
+	lastTime  = 800 * time.Millisecond
 	// promoteTime is reserved for the promotion, and moveTime for each run that has to
 	// move. Together they are at most maxPromotePart of the budget.
 	promoteTime    = 1500 * time.Millisecond
