reservation: the policy of zones decides which requests leave, also for engines

The zone's allocator asked Tracker.Choose without the service and the ID of the request, so that in zones with four or more instances the fixed cost of another zone decided on engines, and spillover on plain services alone.

Change: the allocator's demands name both, unless another zone's allocator asks (it has decided); a request that leaves needs no further advantage over its own zone.

TestPolicyOfZonesDecides fails without the change.

--- a/internal/placement/pending.go
+++ b/internal/placement/pending.go
@@ -73,5 +73,11 @@
 	return time.Duration(float64(dm.Prompt) / prefillTokensPerMillisecond * float64(time.Millisecond))
 }
 
-// ZoneCost returns what an engine in another zone costs in addition.
-func (dm Demand) ZoneCost() float64 { return dm.remoteZoneCost() }
+// ZoneCost returns by how much an engine in another zone must be better for a request
+// that is sent there: nothing if Zones has already decided that it leaves.
+func (lt *LoadTracker) ZoneCost(dm Demand) float64 {
+	if lt.zonesApply(dm) {
+		return 0
+	}
+	return dm.remoteZoneCost()
+}
--- a/internal/reservation/allocator.go
+++ b/internal/reservation/allocator.go
@@ -223,7 +223,7 @@
 	if ar.Within {
 		list = near
 	}
-	dm := ar.Request.demand()
+	dm := ar.demand()
 	best, found := al.Tracker.Choose(list, dm, exclude)
 	if !found || needsRoom && !dm.Fits(best.Load) || ar.MaxCost > 0 && best.Cost >= ar.MaxCost {
 		return TakeReply{Decision: NoEngine}, false
@@ -232,9 +232,7 @@
 	if best.Endpoint.Zone != ar.Zone {
 		re.OtherZone = best.Endpoint.Zone
 		if own, found := al.Tracker.Choose(near, dm, exclude); found && (dm.Fits(own.Load) || !needsRoom) {
-			// The cost of the other zone's engine includes that of the way there, which
-			// its allocator doesn't count.
-			re.MaxCost = max(own.Cost-dm.ZoneCost(), 1)
+			re.MaxCost = max(own.Cost-al.Tracker.ZoneCost(dm), 1)
 			best = own
 		}
 	}
@@ -243,13 +241,23 @@
 	return re, true
 }
 
+// demand returns what the request asks of an engine. Whether a request of another zone
+// leaves that zone was decided there.
+func (ar *TakeArgs) demand() placement.Demand {
+	dm := ar.Request.demand()
+	if ar.Foreign {
+		dm.Service = ""
+	}
+	return dm
+}
+
 // anyUsable reports whether a request could get any engine, if it had room.
 func (al *Allocator) anyUsable(ar *TakeArgs) bool {
 	list := al.Ready(ar.Request.Service)
 	if ar.Within {
 		list = inZone(list, ar.Zone)
 	}
-	_, found := al.Tracker.Choose(list, ar.Request.demand(), al.exclusions(ar))
+	_, found := al.Tracker.Choose(list, ar.demand(), al.exclusions(ar))
 	return found
 }
 
--- a/internal/reservation/request.go
+++ b/internal/reservation/request.go
@@ -36,7 +36,7 @@
 
 // demand returns what the request asks of an engine.
 func (re *Request) demand() placement.Demand {
-	return placement.Demand{Engine: &re.Engine, Prompt: re.Prompt, Output: re.Output}
+	return placement.Demand{Engine: &re.Engine, Prompt: re.Prompt, Output: re.Output, Service: re.Service, Request: re.ID}
 }
 
 // startBy returns when the request must get an engine for an answer that is on time.
