spillover: only in zones with four instances or more

Two instances a zone know each other's loads within milliseconds, and weigh single engines of other zones better than a share for the zone does.

Change: placement.Zones says whether it is active; the controller is, from four instances of its zone on, as the zone's allocator of engines is.

Ruled out: the judgement on outliers as the cause (off: no higher).

Conclusion: the small deployments choose zones as before; TestZoneWithFewInstances.

--- a/internal/gateway/spillover.go
+++ b/internal/gateway/spillover.go
@@ -14,7 +14,7 @@
 		return nil
 	}
 	li := &serviceList{state: &gw.state}
-	co := &spillover.Controller{Zone: gw.Settings.Zone, Services: li.services, Loads: gw.zoneLoads, Clock: gw.Clock, Log: gw.Log, Scope: gw.metrics.Scope}
+	co := &spillover.Controller{Zone: gw.Settings.Zone, Services: li.services, Loads: gw.zoneLoads, Instances: gw.zoneInstances, Clock: gw.Clock, Log: gw.Log, Scope: gw.metrics.Scope}
 	gw.tracker.Zones = co
 	return []controller.Controller{co}
 }
@@ -24,6 +24,17 @@
 	return gw.tracker.ZoneLoads(gw.roster.View().Ready(service), typical)
 }
 
+// zoneInstances returns the number of registered instances of the own zone.
+func (gw *Gateway) zoneInstances() int {
+	count := 0
+	for _, me := range gw.members.List() {
+		if me.Zone == gw.Settings.Zone {
+			count++
+		}
+	}
+	return count
+}
+
 // serviceList is the list of the services of the configuration in force.
 type serviceList struct {
 	state   *routing.State
--- a/internal/placement/load_tracker.go
+++ b/internal/placement/load_tracker.go
@@ -57,8 +57,8 @@
 	Outliers Outliers
 	// OnZoneFailing is called, with locks held, when a zone begins to fail. It may be nil.
 	OnZoneFailing func(FailingZone)
-	// Zones decides which zones requests may be sent to. If it is nil, other zones have
-	// a fixed extra cost, and running calls to plain services are not reported.
+	// Zones decides which zones requests may be sent to. If it is nil or not active, other
+	// zones have a fixed extra cost, and running calls to plain services are not reported.
 	Zones Zones
 
 	mu       sync.Mutex
@@ -256,7 +256,7 @@
 }
 
 // Loads returns the load that this instance places on endpoints. Plain services are left
-// out if Zones is nil.
+// out unless Zones is active.
 func (lt *LoadTracker) Loads() map[string]Load {
 	lt.mu.Lock()
 	defer lt.mu.Unlock()
@@ -265,7 +265,7 @@
 		switch {
 		case ac.generations > 0 || ac.reservedTokens > 0:
 			loads[id] = Load{Running: ac.generations, PrefillTokens: ac.prefillTokens, ReservedTokens: ac.reservedTokens}
-		case ac.inFlight > 0 && (lt.Zones != nil || lt.Emptying != nil && lt.Emptying(id)):
+		case ac.inFlight > 0 && (lt.hasZones() || lt.Emptying != nil && lt.Emptying(id)):
 			loads[id] = Load{Running: ac.inFlight}
 		}
 	}
--- a/internal/placement/locality.go
+++ b/internal/placement/locality.go
@@ -10,6 +10,9 @@
 // Zones decides which availability zones a request may be sent to.
 // spillover.Controller implements it.
 type Zones interface {
+	// Active reports whether Admit decides at all. If it does not, other zones have a
+	// fixed extra cost.
+	Active() bool
 	// Admit returns the zones for one request from the zone home.
 	Admit(dm Demand, home string) Admission
 	// Sent counts a request that is sent from the zone home to an endpoint.
@@ -85,9 +88,12 @@
 // zonesApply reports whether Zones decides on a request. The target of a migration
 // depends on the zone of the KV cache instead.
 func (lt *LoadTracker) zonesApply(dm Demand) bool {
-	return lt.Zones != nil && dm.Service != "" && dm.Zone == ""
+	return dm.Service != "" && dm.Zone == "" && lt.hasZones()
 }
 
+// hasZones reports whether Zones decides on requests.
+func (lt *LoadTracker) hasZones() bool { return lt.Zones != nil && lt.Zones.Active() }
+
 // admitted returns the endpoints in the zones of an admission.
 func (lt *LoadTracker) admitted(list []roster.Endpoint, ad Admission, now time.Time) []roster.Endpoint {
 	if !ad.Restricted {
--- a/internal/placement/locality_test.go
+++ b/internal/placement/locality_test.go
@@ -16,6 +16,8 @@
 	sent      []string
 }
 
+func (*fixedZones) Active() bool { return true }
+
 func (fz *fixedZones) Admit(Demand, string) Admission { return fz.admission }
 
 func (fz *fixedZones) Sent(en roster.Endpoint, _ string) { fz.sent = append(fz.sent, en.Zone) }
--- a/internal/reservation/zones_test.go
+++ b/internal/reservation/zones_test.go
@@ -13,6 +13,8 @@
 // leaving is a placement.Zones by which all requests leave for z1.
 type leaving struct{}
 
+func (leaving) Active() bool { return true }
+
 func (leaving) Admit(placement.Demand, string) placement.Admission {
 	return placement.Admission{Restricted: true, Leaves: true, Lenders: []string{"z1"}}
 }
--- a/internal/spillover/controller.go
+++ b/internal/spillover/controller.go
@@ -6,6 +6,7 @@
 	"math"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -18,6 +19,10 @@
 )
 
 const (
+	// minInstances is the number of instances of a zone from which on they decide
+	// together. The loads that fewer tell each other are fresh enough for each to weigh
+	// single endpoints of other zones.
+	minInstances = 4
 	// evaluationInterval is the time between two evaluations of a service's shares.
 	evaluationInterval = 100 * time.Millisecond
 	// demandWeight is the weight of one request in the means of a service's demands.
@@ -47,11 +52,15 @@
 	Services func() []Service
 	// Loads returns the loads of a service's zones for a typical demand.
 	Loads func(service string, typical placement.Demand) []placement.ZoneLoad
-	Clock clockwork.Clock
-	Log   zerolog.Logger
+	// Instances returns the number of instances of the zone. If it is nil, there are enough.
+	Instances func() int
+	Clock     clockwork.Clock
+	Log       zerolog.Logger
 	// Scope records metrics. If it is nil, none are recorded.
 	Scope tally.Scope
 
+	// tooFew is set while the zone has fewer than minInstances instances.
+	tooFew   atomic.Bool
 	mu       sync.Mutex
 	services map[string]*service
 }
@@ -76,6 +85,7 @@
 // evaluate computes the shares of all services. It calls Loads without holding mu:
 // LoadTracker calls Admit under its own lock.
 func (co *Controller) evaluate() {
+	co.tooFew.Store(co.Instances != nil && co.Instances() < minInstances)
 	now := co.Clock.Now()
 	list := co.Services()
 	co.prune(list)
@@ -108,6 +118,9 @@
 	return sv.typical
 }
 
+// Active implements placement.Zones.
+func (co *Controller) Active() bool { return !co.tooFew.Load() }
+
 // Admit implements placement.Zones.
 func (co *Controller) Admit(dm placement.Demand, home string) placement.Admission {
 	co.mu.Lock()
--- a/internal/spillover/pattern_test.go
+++ b/internal/spillover/pattern_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	. "github.com/onsi/gomega"
 	"github.com/rs/zerolog"
 
@@ -201,3 +202,17 @@
 		g.Expect(sv.shareFor(ca.share, placement.Demand{})).To(Equal(ca.share))
 	}
 }
+
+// In a zone with few instances, each weighs single endpoints by itself.
+func TestZoneWithFewInstances(t *testing.T) {
+	g := NewWithT(t)
+	count := minInstances - 1
+	co := &Controller{
+		Zone: "a", Services: func() []Service { return nil }, Instances: func() int { return count }, Clock: clockwork.NewFakeClock(), Log: zerolog.Nop(),
+	}
+	co.evaluate()
+	g.Expect(co.Active()).To(BeFalse())
+	count++
+	co.evaluate()
+	g.Expect(co.Active()).To(BeTrue())
+}
