Make reservations readable for a newcomer

What stopped a reader: the comment of refusal.NoRoom stood inside that of RateLimited; the usage of package reservation lacked Clock, Wake and Run, without which it doesn't work; `line` and `lane` were not said to be queues; `keyOf`, `past` and `why` did not say what they return; maxRetryPart, a divisor, was called a part; Request.MaxWait had an unexplained lower bound; `blocked` was described wrongly; Reserve, serve and reservationOf did two things each.

No test file is changed.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -55,7 +55,7 @@
 	demand   placement.Demand
 	// permit allows to send the request to the endpoint once.
 	permit *backpressure.Permit
-	// grant is the place that the zone's allocator granted. It is nil if there is none.
+	// grant is the zone's allocator's grant of the endpoint. It is nil if there is none.
 	grant *reservation.Grant
 	// standby is nil if no standby copy of the run is kept.
 	standby *standby
--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -36,8 +36,9 @@
 )
 
 // chooseEndpoint returns a ready endpoint that the task has not tried yet and that
-// takes the request. If all of them are at their limits, the task waits for one, if
-// there is time.
+// takes the request. Before that, the task may wait for its turn, and for an engine that
+// the zone's allocator grants. If all endpoints are at their limits, the task waits for
+// one, if there is time.
 func (di *Dispatcher) chooseEndpoint(ctx context.Context, ta *task, dm placement.Demand) (destination, *refusal.Error) {
 	usable, er := di.withoutCrashing(ta, di.Roster.View().Ready(ta.service.Name))
 	if er != nil {
--- a/internal/dispatch/reserve.go
+++ b/internal/dispatch/reserve.go
@@ -24,7 +24,8 @@
 }
 
 // choosePlace chooses an endpoint: an engine that the zone's allocator grants, or else the
-// one of least cost by the loads that this instance knows.
+// one of least cost by the loads that this instance knows. The choice is empty if there is
+// none.
 func (di *Dispatcher) choosePlace(ctx context.Context, ta *task, dm placement.Demand, ready []roster.Endpoint, exclude map[string]bool) (placement.Choice, *reservation.Grant, *refusal.Error) {
 	if di.Reserver != nil && dm.Engine != nil && len(ready) > 0 {
 		gr, err := di.Reserver.Reserve(ctx, di.reservationOf(ta, dm, ready, exclude))
@@ -58,13 +59,13 @@
 	if !errors.As(err, &er) || er.Kind == reservation.Left {
 		return refusal.New(refusal.CallerGone, "the caller left, or its time passed, before the request was sent")
 	}
-	after := min(max(er.After, busyRetryAfter), max(ta.remaining(di.Clock.Now())/maxRetryPart, busyRetryAfter))
+	after := min(max(er.After, busyRetryAfter), max(ta.remaining(di.Clock.Now())/retryAfterDivisor, busyRetryAfter))
 	return refusal.Wrap(refusal.NoRoom, "the engines of "+ta.service.Name+" have no room in time", err).WithRetryAfter(spread(after))
 }
 
-// keyOf returns a number that is the same if the caller sends the request again, or zero
+// resendKey returns a number that is the same if the caller sends the request again, or zero
 // if its prompt has no parts.
-func (ta *task) keyOf() uint64 {
+func (ta *task) resendKey() uint64 {
 	parts := ta.Prompt.Parts
 	if len(parts) == 0 {
 		return 0
@@ -75,14 +76,15 @@
 const (
 	// maxReservationShare is the part of a request's remaining time that it may wait for an
 	// engine, and maxReservationObjectives the longest wait as a multiple of its route's
-	// objective. Requests that wait for longer than the objective come after all others.
+	// objective. Beyond either, the request is refused. Those whose answer can't be within
+	// the objective any more come after the others of their priority.
 	maxReservationShare      = 0.75
 	maxReservationObjectives = 3
 )
 
-// maxRetryPart limits Retry-After to this part of the remaining time, doubled by its
-// spread.
-const maxRetryPart = 6
+// retryAfterDivisor limits Retry-After, before it is spread, to the remaining time divided
+// by it.
+const retryAfterDivisor = 6
 
 // reservationOf describes a task to the allocator. Endpoints of the service that are not
 // in ready are left out, too.
@@ -91,7 +93,7 @@
 	remaining := ta.remaining(now)
 	re := reservation.Request{
 		ID: ta.ID, Service: ta.service.Name, Engine: *dm.Engine, Prompt: dm.Prompt, Output: dm.Output,
-		Team: ta.team, Priority: ta.priority, Key: ta.keyOf(), OnTime: ta.Arrived.Add(ta.route.Objective).Sub(now), Remaining: remaining,
+		Team: ta.team, Priority: ta.priority, Key: ta.resendKey(), OnTime: ta.Arrived.Add(ta.route.Objective).Sub(now), Remaining: remaining,
 		MaxWait: time.Duration(maxReservationShare * float64(remaining)),
 	}
 	if objective := ta.route.Objective; objective > 0 {
@@ -101,18 +103,27 @@
 	for id := range exclude {
 		re.Exclude = append(re.Exclude, id)
 	}
-	if all := di.Roster.View().Ready(ta.service.Name); len(all) != len(ready) {
-		usable := make(map[string]bool, len(ready))
-		for _, en := range ready {
-			usable[en.ID] = true
-		}
-		for _, en := range all {
-			if !usable[en.ID] {
-				re.Exclude = append(re.Exclude, en.ID)
-			}
+	re.Exclude = append(re.Exclude, di.leftOut(ta, ready)...)
+	return re
+}
+
+// leftOut returns the IDs of the service's endpoints that are ready, but not in the list.
+func (di *Dispatcher) leftOut(ta *task, ready []roster.Endpoint) []string {
+	all := di.Roster.View().Ready(ta.service.Name)
+	if len(all) == len(ready) {
+		return nil
+	}
+	usable := make(map[string]bool, len(ready))
+	for _, en := range ready {
+		usable[en.ID] = true
+	}
+	var ids []string
+	for _, en := range all {
+		if !usable[en.ID] {
+			ids = append(ids, en.ID)
 		}
 	}
-	return re
+	return ids
 }
 
 // grantedChoice returns the choice that a grant stands for. It returns false if this
--- a/internal/gateway/reserve.go
+++ b/internal/gateway/reserve.go
@@ -6,7 +6,7 @@
 	"filbertstall.example/filbertstall/internal/roster"
 )
 
-// buildEngines creates the allocator of engines of this instance.
+// buildEngines sets the fields of engines, this instance's allocator.
 func (gw *Gateway) buildEngines() {
 	ready := func(service string) []roster.Endpoint { return gw.roster.View().Ready(service) }
 	gw.engines.Peers, gw.engines.Tracker, gw.engines.Ready = &gw.peers, &gw.tracker, ready
--- a/internal/peer/skip.go
+++ b/internal/peer/skip.go
@@ -22,7 +22,7 @@
 	sk.until[name] = until
 }
 
-// List returns the instances that are skipped now.
+// List returns the instances that are skipped now, and forgets the others.
 func (sk *Skips) List(now time.Duration) []string {
 	sk.mu.Lock()
 	defer sk.mu.Unlock()
--- a/internal/ratelimit/zone.go
+++ b/internal/ratelimit/zone.go
@@ -12,8 +12,8 @@
 // heartbeat is the longest time between two messages of an instance to its own zone.
 const heartbeat = time.Second
 
-// strongLink is the bandwidth, in Mbit/s, from which on an instance's link does not
-// matter for its rank in a zone.
+// strongLink is the bandwidth, in Mbit/s, from which on more bandwidth does not raise the
+// rank of an instance in its zone.
 const strongLink = 50
 
 // ZoneView is how an instance sees the instances of one availability zone.
@@ -29,7 +29,7 @@
 }
 
 // Zone returns the view of the instances of a zone. The allocator is the one with the
-// highest rank for key: a strong link, then a hash. All that hear of the same instances
+// highest rank for key: the faster link, up to strongLink, then a hash. All that hear of the same instances
 // agree on it. Instances in without are left out.
 func (pe *Peers) Zone(zone, key string, without ...string) ZoneView {
 	now := pe.Boot.Now()
@@ -48,7 +48,7 @@
 		}
 		vi.Alive++
 		ra := zoneRank{link: min(me.LinkMbps, strongLink), hash: xxhash.Sum64String(key + "/" + me.Name)}
-		if vi.Allocator == nil || best.before(ra) {
+		if vi.Allocator == nil || best.lower(ra) {
 			vi.Allocator, best = &list[ix], ra
 		}
 	}
@@ -61,7 +61,8 @@
 	hash uint64
 }
 
-func (ra zoneRank) before(other zoneRank) bool {
+// lower reports whether a rank is lower than another.
+func (ra zoneRank) lower(other zoneRank) bool {
 	if ra.link != other.link {
 		return ra.link < other.link
 	}
--- a/internal/readahead/budget.go
+++ b/internal/readahead/budget.go
@@ -3,10 +3,11 @@
 import "sync"
 
 const (
-	// DefaultBytes is the usual memory for all streams of an instance, in bytes.
-	// The smallest instances have about seven times as much in all.
+	// DefaultBytes is the usual memory for all streams of an instance, in bytes. Beyond
+	// it, streams are read no faster than their callers read.
 	DefaultBytes = 16 << 20
-	// StreamBytes is the memory that one stream may hold, in bytes.
+	// StreamBytes is the memory that one stream may hold, in bytes. Beyond it, the stream
+	// is read no faster than its caller reads.
 	StreamBytes = 1 << 20
 )
 
--- a/internal/readahead/reader.go
+++ b/internal/readahead/reader.go
@@ -19,7 +19,8 @@
 	mu sync.Mutex
 	// arrived has a value when held or err changed, drained when held got shorter.
 	arrived, drained chan struct{}
-	held             []byte
+	// held has the bytes that were read from the source and not yet by the caller.
+	held []byte
 	// budgeted is the number of bytes of held that were taken from the budget.
 	budgeted int
 	// err is the error that ended the source.
@@ -59,7 +60,7 @@
 }
 
 // Close implements io.Closer. Reads of the source must be unblocked before, as by
-// canceling its context: Close waits for the last one.
+// canceling its context: Close waits for the last one. It may be called only once.
 func (rd *Reader) Close() error {
 	close(rd.closing)
 	<-rd.done
@@ -72,7 +73,7 @@
 func (rd *Reader) fill() {
 	defer close(rd.done)
 	for {
-		size, taken, open := rd.awaitRoom()
+		size, taken, open := rd.awaitMemory()
 		if !open {
 			return
 		}
@@ -102,9 +103,9 @@
 	return rd.source.Read(into)
 }
 
-// awaitRoom waits until a part of the source may be read. It returns its size and how
+// awaitMemory waits until a part of the source may be read. It returns its size and how
 // many bytes of it were taken from the budget, or false if the Reader is closed.
-func (rd *Reader) awaitRoom() (size, taken int, open bool) {
+func (rd *Reader) awaitMemory() (size, taken int, open bool) {
 	for {
 		select {
 		case <-rd.closing:
@@ -116,9 +117,10 @@
 			// A caller that waits for data gets it even if others have used up the budget.
 			return chunkBytes, 0, true
 		}
-		freed := (<-chan struct{})(nil)
-		if room := min(StreamBytes-held, chunkBytes); room > 0 {
-			if taken, freed = rd.budget.take(room); taken > 0 {
+		// At the bound of the stream, freed is nil: only drained helps.
+		var freed <-chan struct{}
+		if want := min(StreamBytes-held, chunkBytes); want > 0 {
+			if taken, freed = rd.budget.take(want); taken > 0 {
 				return taken, taken, true
 			}
 		}
--- a/internal/refusal/refusal.go
+++ b/internal/refusal/refusal.go
@@ -62,10 +62,10 @@
 	// received before the timeout.
 	TimedOut   Reason = "timed_out"
 	NoCapacity Reason = "no_capacity"
+	// NoRoom means that all engines are full for longer than the request can wait.
+	NoRoom Reason = "no_room"
 	// RateLimited means that all endpoints that could run the request are at the
 	// rate limits that they named, or want no requests for some time.
-	// NoRoom is the reason if all engines are full for longer than the request can wait.
-	NoRoom          Reason = "no_room"
 	RateLimited     Reason = "rate_limited"
 	QueueFull       Reason = "queue_full"
 	QueueTime       Reason = "queue_time"
--- a/internal/reservation/allocator.go
+++ b/internal/reservation/allocator.go
@@ -19,7 +19,7 @@
 	// maxHold is the longest time for which a call of a waiting request is held. Its
 	// instance then asks again, so that it notices soon if the allocator is gone.
 	maxHold = 300 * time.Millisecond
-	// serveInterval is the time between two looks for room while requests wait.
+	// serveInterval is the time between two attempts to grant engines while requests wait.
 	serveInterval = 10 * time.Millisecond
 )
 
@@ -32,6 +32,7 @@
 	Tracker *placement.LoadTracker
 	// Ready returns the endpoints of a service that may get requests.
 	Ready func(service string) []roster.Endpoint
+	// Boot tells the time of grants and waits, and Clock wakes Run and held calls.
 	Boot  boottime.Clock
 	Clock clockwork.Clock
 	// Wake receives a value when a request begins to wait. It has room for one.
@@ -40,7 +41,8 @@
 	mu      sync.Mutex
 	grants  grants
 	reports reports
-	lines   map[string]*line
+	// lines has the waiting requests, by service.
+	lines map[string]*line
 }
 
 // Name implements controller.Controller.
@@ -98,7 +100,8 @@
 	}
 }
 
-// takeOrWait returns the answer to a request, or the request among those that wait.
+// takeOrWait returns the answer to a request, or the waiter that receives it if it has to
+// wait or its answer is there to be fetched.
 func (al *Allocator) takeOrWait(ar TakeArgs) (TakeReply, *waiter) {
 	vi := al.Peers.Zone(ar.Zone, ar.Request.Service, ar.Without...)
 	if !vi.Informed || vi.Allocator == nil || vi.Allocator.Name != al.Peers.Self.Name {
@@ -164,6 +167,7 @@
 	}
 }
 
+// line returns the line of a service. The caller must hold mu.
 func (al *Allocator) line(service string) *line {
 	li := al.lines[service]
 	if li == nil {
@@ -189,7 +193,8 @@
 	}
 }
 
-// Prune drops the grants whose time has passed, and lines without requests.
+// Prune drops the grants whose time has passed, and lines without requests whose rate and
+// refused requests no longer matter.
 func (al *Allocator) Prune() {
 	al.mu.Lock()
 	defer al.mu.Unlock()
@@ -202,6 +207,7 @@
 	}
 }
 
+// expire ends the grants whose time has passed. The caller must hold mu.
 func (al *Allocator) expire() {
 	al.grants.tracker = al.Tracker
 	al.grants.expire(al.Boot.Now())
@@ -209,14 +215,13 @@
 
 // grantRoom grants an engine that has room. The caller must hold mu.
 func (al *Allocator) grantRoom(ar *TakeArgs) (TakeReply, bool) {
-	re, found := al.choose(ar, true)
-	return re, found
+	return al.choose(ar, true)
 }
 
 // choose grants the engine of lowest cost. If that is in another zone, it names that
-// zone, whose allocator knows better, and grants the best engine of its own zone, if one
-// has room. If needsRoom is set, it grants only engines with room. The caller must hold
-// mu.
+// zone, whose allocator has newer loads, and grants the best engine of its own zone
+// instead, if there is one that it may grant. If needsRoom is set, it grants only engines
+// with room. The caller must hold mu.
 func (al *Allocator) choose(ar *TakeArgs, needsRoom bool) (TakeReply, bool) {
 	list, exclude := al.Ready(ar.Request.Service), al.exclusions(ar)
 	near := inZone(list, ar.Zone)
@@ -253,8 +258,9 @@
 	return found
 }
 
-// exclusions returns the engines that a request must not get. Those that others can't reach
-// are among them.
+// exclusions records which engines the asking instance can't reach, and returns those that
+// the request must not get. Those that several instances can't reach are among them. The
+// caller must hold mu.
 func (al *Allocator) exclusions(ar *TakeArgs) map[string]bool {
 	now := al.Boot.Now()
 	if al.reports == nil {
@@ -264,6 +270,7 @@
 	return setOf(ar.Request.Exclude, ar.Request.Unreachable, al.reports.unreachable(now))
 }
 
+// setOf returns the set of the elements of some lists.
 func setOf(lists ...[]string) map[string]bool {
 	set := make(map[string]bool)
 	for _, ids := range lists {
--- a/internal/reservation/client.go
+++ b/internal/reservation/client.go
@@ -36,8 +36,9 @@
 	outcomeWaited outcome = "waited"
 	// outcomeOtherZone means that another zone's allocator granted the engine.
 	outcomeOtherZone outcome = "other_zone"
-	outcomeAlone     outcome = "alone"
-	outcomeRefused   outcome = "refused"
+	// outcomeAlone means that the instance has to choose by itself.
+	outcomeAlone   outcome = "alone"
+	outcomeRefused outcome = "refused"
 )
 
 var outcomes = []outcome{outcomeGranted, outcomeWaited, outcomeOtherZone, outcomeAlone, outcomeRefused}
@@ -84,7 +85,7 @@
 		return nil, nil
 	}
 	as := &asking{cl: cl, ctx: ctx, begun: cl.Boot.Now(), args: TakeArgs{Request: re, Zone: zone, From: cl.Peers.Self.Name}}
-	reply, why := as.take()
+	reply, cause := as.take()
 	if reply.Decision == Granted && reply.OtherZone != "" {
 		gr, declined := as.takeElsewhere(reply)
 		if gr != nil {
@@ -94,9 +95,26 @@
 			// No engine of the own zone has room, nor does one of the other.
 			as.grant(reply).Settle()
 			as.args.Within = true
-			reply, why = as.take()
+			reply, cause = as.take()
 		}
 	}
+	return as.finish(reply, cause)
+}
+
+// asking is the state of one Reserve, or of its call to another zone's allocator.
+type asking struct {
+	cl    *Client
+	ctx   context.Context
+	begun time.Duration
+	args  TakeArgs
+	// allocator is the instance that was asked last.
+	allocator loadshare.Member
+	// waited is set once the allocator has let the request wait.
+	waited bool
+}
+
+// finish returns what Reserve does for the last answer. cause is as in ask.
+func (as *asking) finish(reply TakeReply, cause string) (*Grant, error) {
 	switch reply.Decision {
 	case Granted:
 		gr := as.grant(reply)
@@ -112,36 +130,26 @@
 		as.leave()
 		return nil, &Error{Op: "reserve", Kind: Left}
 	default:
-		cl.count(outcomeAlone)
-		cl.Log.Info().Str("event", "reservation_alone").Str("request", re.ID).Str("allocator", as.allocator.Name).
-			Str("cause", why).Dur("took", cl.Boot.Now()-as.begun).Msg("reservation: choosing without the zone's allocator")
+		as.cl.count(outcomeAlone)
+		as.cl.Log.Info().Str("event", "reservation_alone").Str("request", as.args.Request.ID).Str("allocator", as.allocator.Name).
+			Str("cause", cause).Dur("took", as.cl.Boot.Now()-as.begun).Msg("reservation: choosing without the zone's allocator")
 		return nil, nil
 	}
 }
 
-// asking is one request's way to an engine.
-type asking struct {
-	cl    *Client
-	ctx   context.Context
-	begun time.Duration
-	args  TakeArgs
-	// allocator is the instance that was asked last.
-	allocator loadshare.Member
-	// waited is set once the request waited at the allocator.
-	waited bool
-}
-
 // take asks the allocator of the own zone, again and again as long as the request waits
-// there. The result is Waiting only if the caller left.
+// there. The result is Waiting only if the caller left. The string is as in ask.
 func (as *asking) take() (TakeReply, string) {
 	re := &as.args.Request
 	onTime, remaining, maxWait := re.OnTime, re.Remaining, re.MaxWait
 	for {
-		past := as.cl.Boot.Now() - as.begun
-		re.OnTime, re.Remaining, re.MaxWait = onTime-past, remaining-past, max(maxWait-past, min(maxWait, time.Millisecond))
-		reply, why := as.ask()
+		elapsed := as.cl.Boot.Now() - as.begun
+		re.OnTime, re.Remaining = onTime-elapsed, remaining-elapsed
+		// A request that may wait keeps a positive MaxWait: zero means an engine without room.
+		re.MaxWait = max(maxWait-elapsed, min(maxWait, time.Millisecond))
+		reply, cause := as.ask()
 		if reply.Decision != Waiting || as.ctx.Err() != nil {
-			return reply, why
+			return reply, cause
 		}
 		as.waited, as.args.Hold = true, maxHold
 	}
@@ -163,7 +171,8 @@
 	return gr, false
 }
 
-// ask asks an allocator once. If it does not answer with a grant, ask returns why.
+// ask asks an allocator once. If the instance has to choose by itself, the string tells
+// the cause for the log.
 func (as *asking) ask() (TakeReply, string) {
 	cl, now := as.cl, as.cl.Boot.Now()
 	as.args.Without = cl.skips.List(now)
@@ -189,7 +198,8 @@
 	return describe(re)
 }
 
-// describe returns an answer and, if it is no grant, its meaning.
+// describe returns an answer and, if it means that the instance has to choose by itself,
+// the cause.
 func describe(re TakeReply) (TakeReply, string) {
 	switch re.Decision {
 	case NotAllocator:
@@ -206,13 +216,15 @@
 	return &Grant{Endpoint: re.Endpoint, Cost: re.Cost, Load: re.Load, id: re.Grant, allocator: as.allocator.Name, client: as.cl}
 }
 
+// logGrant counts and logs a grant.
 func (as *asking) logGrant(gr *Grant, ou outcome) {
 	as.cl.count(ou)
 	as.cl.Log.Info().Str("event", "reservation_granted").Str("request", as.args.Request.ID).Str("endpoint", gr.Endpoint).Str("allocator", gr.allocator).
 		Float64("cost_ms", gr.Cost).Int("priority", as.args.Request.Priority).Dur("waited", as.cl.Boot.Now()-as.begun).Msg("reservation: engine granted")
 }
 
-// refuse returns the error of a request for which there is no room in time.
+// refuse counts and logs a request for which there is no room in time, and returns its
+// error.
 func (as *asking) refuse(re TakeReply) *Error {
 	er := &Error{Op: "reserve", Kind: Refused, After: re.After}
 	if as.waited {
--- a/internal/reservation/doc.go
+++ b/internal/reservation/doc.go
@@ -10,7 +10,8 @@
 //
 // # Usage
 //
-//	al := &reservation.Allocator{Peers: peers, Tracker: tracker, Ready: ready, Boot: boot}
+//	al := &reservation.Allocator{Peers: peers, Tracker: tracker, Ready: ready, Boot: boot, Clock: clock, Wake: make(chan struct{}, 1)}
+//	go al.Run(ctx)                   // call al.Prune now and then
 //	err := server.Register(reservation.ServiceName, al.Service())
 //	cl := &reservation.Client{Peers: peers, Allocator: al, Caller: &peer.Client{}, Boot: boot}
 //	gr, err := cl.Reserve(ctx, re)   // nil without an error: choose alone
--- a/internal/reservation/grants.go
+++ b/internal/reservation/grants.go
@@ -6,9 +6,9 @@
 	"filbertstall.example/filbertstall/internal/placement"
 )
 
-// grantLifetime is the longest time for which a grant counts as load. It covers the way
-// of the answer, of the request's account into a load message, and the loss of two of
-// those.
+// grantLifetime is the longest time for which a grant counts as load. It covers the
+// transfer of the answer, the time until a load message includes the request, and the loss
+// of two of those messages.
 const grantLifetime = time.Second
 
 // grant is an engine that was given to a request whose instance does not report it yet.
--- a/internal/reservation/line.go
+++ b/internal/reservation/line.go
@@ -23,23 +23,28 @@
 	renewal = maxHold + 2*askTimeout
 )
 
-// line has the requests that wait for the engines of a service. Requests with a smaller
-// priority number come first, and of one priority those whose answer can be on time. Those
-// of one rank are in two lanes, so that short ones need not wait for the room of a long one. In a lane, the team that used the fewest
-// tokens comes first, and of its requests those that were refused before, and then that
-// with the earliest deadline. A line is not safe for concurrent use.
+// line is the priority queue of the requests that wait for the engines of a service.
+// Requests with a smaller priority number come first, and of one priority those whose
+// answer can be on time. Those of one rank are in queues of their own, the lanes, by
+// laneKey, so that short ones need not wait for the room of a long one. In a lane, the
+// team that used the fewest tokens comes first, and of its requests those that were
+// refused before, and then that with the earliest deadline. A line is not safe for
+// concurrent use.
 type line struct {
 	lanes   map[laneKey]*lane
 	waiting map[string]*waiter
 	// answered has the requests whose answer their instances have not fetched yet.
 	answered map[string]*waiter
-	grants   rate
-	// blocked is set if the last request that was looked at found no room.
-	blocked  bool
+	// grants is the rate at which engines were granted lately.
+	grants rate
+	// blocked is set if the last serve ended at a rank in which a request that others wait
+	// for found no room.
+	blocked bool
+	// returned has the requests that were refused lately.
 	returned returned
 }
 
-// rank orders lanes.
+// rank orders lanes: the smaller priority number first, then what can be on time.
 type rank struct {
 	priority int
 	// late is set for requests whose answer will be late.
@@ -64,20 +69,25 @@
 	narrow bool
 }
 
+// lane is a queue of requests of one rank.
 type lane struct {
 	queue.Queue[*waiter]
+	// narrow is as in laneKey.
 	narrow bool
-	// passes is the number of requests of the other lane that were granted while the head
+	// passes is the number of requests of other lanes that were granted while the head
 	// of this one waited.
-	passes  int
+	passes int
+	// blocked is set if the head found no room in this serve.
 	blocked bool
 }
 
 // waiter is a request that waits for an engine.
 type waiter struct {
-	args  TakeArgs
-	key   laneKey
-	lane  *lane
+	args TakeArgs
+	// key identifies lane, in which the request waits.
+	key  laneKey
+	lane *lane
+	// until is when it is refused.
 	until time.Duration
 	// startBy is when it must get an engine for an answer that is on time, and endsAt when
 	// nobody waits for it any more.
@@ -86,7 +96,7 @@
 	returned bool
 	// renewed is when its instance asked last.
 	renewed time.Duration
-	// answer receives the decision.
+	// answer receives the decision. It is buffered, so that serving never blocks.
 	answer chan TakeReply
 }
 
@@ -109,8 +119,9 @@
 	return wa
 }
 
-// push puts a request into its place. Those of a team are ordered by when they must get
-// an engine to be on time, late ones by when nobody waits for them any more.
+// push puts a request into the lane that it belongs to now. Those of a team are ordered by
+// when they must get an engine to be on time, late ones by when nobody waits for them any
+// more.
 func (li *line) push(wa *waiter, now time.Duration) {
 	re, order := &wa.args.Request, wa.startBy
 	if wa.key.late = now > wa.startBy; wa.key.late {
@@ -183,23 +194,7 @@
 	li.expire(now)
 	for _, ra := range li.ranks() {
 		lanes := li.lanesOf(ra)
-		for _, la := range lanes {
-			la.blocked = false
-		}
-		for la := nextLane(lanes); la != nil; la = nextLane(lanes) {
-			it, _ := la.Head()
-			wa := it.Value
-			re, found := grant(&wa.args)
-			if !found {
-				la.blocked = true
-				if la.exhausted() {
-					break
-				}
-				continue
-			}
-			li.grant(wa, re, now)
-			notePass(lanes, la)
-		}
+		li.serveLanes(lanes, now, grant)
 		li.blocked = slices.ContainsFunc(lanes, func(la *lane) bool { return la.blocked && !la.narrow })
 		if li.blocked {
 			// What is less urgent must not take the room for which these wait.
@@ -208,6 +203,28 @@
 	}
 }
 
+// serveLanes gives engines to the requests of one rank until the head of each lane finds
+// no room, or one does that no other request may pass any more.
+func (li *line) serveLanes(lanes []*lane, now time.Duration, grant func(ar *TakeArgs) (TakeReply, bool)) {
+	for _, la := range lanes {
+		la.blocked = false
+	}
+	for la := nextLane(lanes); la != nil; la = nextLane(lanes) {
+		it, _ := la.Head()
+		wa := it.Value
+		re, found := grant(&wa.args)
+		if !found {
+			la.blocked = true
+			if la.exhausted() {
+				return
+			}
+			continue
+		}
+		li.grant(wa, re, now)
+		countPass(lanes, la)
+	}
+}
+
 // grant answers the head of a lane and charges its team.
 func (li *line) grant(wa *waiter, re TakeReply, now time.Duration) {
 	wa.lane.passes = 0
@@ -230,6 +247,7 @@
 	return list
 }
 
+// lanesOf returns the lanes of a rank. Which of them is served first, nextLane decides.
 func (li *line) lanesOf(ra rank) []*lane {
 	var list []*lane
 	for _, ke := range []laneKey{{long: false}, {long: true}, {long: false, narrow: true}, {long: true, narrow: true}} {
@@ -264,8 +282,8 @@
 // exhausted reports whether no other request may pass the head any more.
 func (la *lane) exhausted() bool { return la.passes >= maxPasses && !la.narrow }
 
-// notePass counts a grant of one lane as a pass of the other's head.
-func notePass(lanes []*lane, granted *lane) {
+// countPass counts a grant of one lane as a pass of the heads of the others.
+func countPass(lanes []*lane, granted *lane) {
 	for _, la := range lanes {
 		if la != granted && la.Len() > 0 {
 			la.passes++
--- a/internal/reservation/rate.go
+++ b/internal/reservation/rate.go
@@ -8,66 +8,31 @@
 const (
 	// rateTime is the time constant of the average rate of grants.
 	rateTime = 3 * time.Second
-	// maxForecast limits an expected wait.
+	// maxForecast limits an expected wait. Longer ones are told as this one.
 	maxForecast = time.Hour
-	// returnedLifetime is the time for which a refused request is remembered, in which
-	// its caller may return. maxReturned limits their number.
-	returnedLifetime = 10 * time.Second
-	maxReturned      = 4096
-	// returnedLead puts requests that return before all new ones of their team.
-	returnedLead = time.Hour
 )
 
 // rate is an exponentially weighted average of the rate of grants.
 type rate struct {
+	// count is the number of grants, of which older ones count less, as of the time at.
 	count float64
 	at    time.Duration
 }
 
+// decay brings count up to the time now.
 func (ra *rate) decay(now time.Duration) {
 	ra.count *= math.Exp(-(now - ra.at).Seconds() / rateTime.Seconds())
 	ra.at = now
 }
 
+// add counts a grant.
 func (ra *rate) add(now time.Duration) {
 	ra.decay(now)
 	ra.count++
 }
 
+// perSecond returns the average number of grants in a second.
 func (ra *rate) perSecond(now time.Duration) float64 {
 	ra.decay(now)
 	return ra.count / rateTime.Seconds()
 }
-
-// returned has the requests that were refused lately, by their keys.
-type returned map[uint64]refusedRequest
-
-// refusedRequest is a request whose caller may return.
-type refusedRequest struct {
-	// startBy is when it had to get an engine to be on time, at its first attempt.
-	startBy time.Duration
-	until   time.Duration
-}
-
-// add remembers a request that is refused.
-func (rs returned) add(key uint64, startBy, now time.Duration) {
-	if len(rs) >= maxReturned {
-		for other, re := range rs {
-			if now > re.until {
-				delete(rs, other)
-			}
-		}
-	}
-	if before, known := rs.find(key, now); known {
-		startBy = min(startBy, before.startBy)
-	}
-	if key != 0 && len(rs) < maxReturned {
-		rs[key] = refusedRequest{startBy: startBy, until: now + returnedLifetime}
-	}
-}
-
-// find returns what is remembered of a request, and whether there is something.
-func (rs returned) find(key uint64, now time.Duration) (refusedRequest, bool) {
-	re, known := rs[key]
-	return re, known && now <= re.until
-}
--- a/internal/reservation/request.go
+++ b/internal/reservation/request.go
@@ -28,9 +28,9 @@
 	// answer. MaxWait is how long the request may wait for an engine. Zero means that it
 	// takes one without room.
 	OnTime, Remaining, MaxWait time.Duration
-	// Exclude has the IDs of the engines that the request must not get.
+	// Exclude has the IDs of the engines that the request must not get,
 	Exclude []string
-	// Unreachable has those to which the asking instance found no connection lately.
+	// Unreachable of those to which the asking instance found no connection lately.
 	Unreachable []string
 }
 
@@ -55,11 +55,12 @@
 	Hold time.Duration
 	// Without has the instances of the zone that did not answer the one that asks.
 	Without []string
-	// Within restricts the choice to the engines of Zone, and MaxCost to those that
-	// cost less than that. It is set if another zone's allocator sent the request here.
-	// Foreign requests don't wait there.
-	Within  bool
+	// Within restricts the choice to the engines of Zone.
+	Within bool
+	// Foreign is set if the asking instance is of another zone, whose allocator named
+	// this one. Such requests don't wait here.
 	Foreign bool
+	// MaxCost restricts the choice to engines that cost less. Zero means no limit.
 	MaxCost float64
 
 	// narrow is set by the allocator if few engines may get the request.
@@ -75,7 +76,8 @@
 	NotAllocator Decision = iota
 	// Granted means that the request has an engine.
 	Granted
-	// NoEngine means that no engine is usable.
+	// NoEngine means that no engine is usable, or for a foreign request, that none has
+	// room below MaxCost or that others wait for room.
 	NoEngine
 	// Waiting means that the request waits, and that its instance must ask again.
 	Waiting
@@ -94,7 +96,8 @@
 	Cost     float64
 	Load     placement.Load
 	// OtherZone is set if the engines of another zone seem to be better, by loads that
-	// are older than those of that zone's allocator. They are better below MaxCost.
+	// are older than those of that zone's allocator. They are better below MaxCost, which
+	// is zero if the own zone has no engine to grant.
 	OtherZone string
 	MaxCost   float64
 	// After is the time after which an engine may have room, if it is known.
@@ -118,7 +121,7 @@
 	// Refused means that the expected wait is longer than the request can wait, or that
 	// too many wait.
 	Refused Kind = "refused"
-	// NoRoom means that the request waited in vain.
+	// NoRoom means that the request waited and no engine had room in time.
 	NoRoom Kind = "no_room"
 	// Left means that the caller left, or that the time of the request passed.
 	Left Kind = "left"
--- a/internal/reservation/settled.go
+++ b/internal/reservation/settled.go
@@ -18,7 +18,8 @@
 }
 
 // Settle tells the allocator that the request counts towards the loads of this instance,
-// or that the grant is not used. It has no effect on a nil grant, nor on one without a client, as in tests.
+// or that the grant is not used. It has no effect on a nil grant, nor on one that no
+// Client returned.
 func (gr *Grant) Settle() {
 	if gr == nil || gr.client == nil {
 		return
--- a/internal/reservation/unreachable.go
+++ b/internal/reservation/unreachable.go
@@ -4,7 +4,7 @@
 
 const (
 	// minReports is the number of instances that say that they can't reach an engine from
-	// which on nobody gets it. A single one may have lost its own way there.
+	// which on no request gets it. If only one says so, its own connection may be broken.
 	minReports = 2
 	// reportLifetime is the time for which such a report counts. It is the shortest
 	// back-off that instances that tried again would take.
