Outlier, spillover, placement: names, comments and pages for a newcomer

What stopped a reader: - The pages on spillover said that a share decides which requests leave a zone. In zones with four or more instances the allocator of the zone chooses engines; its demands have no service, so that the extra cost of another zone decides, and the share is only computed and logged.

What changed: comments, names within the packages, one split (Detector.Record, addOwn), pages. No test, log line, metric or wire field changed. failuresInRow keeps its name, as tests use it.

--- a/internal/loadshare/outlier.go
+++ b/internal/loadshare/outlier.go
@@ -36,6 +36,7 @@
 	return data
 }
 
+// appendAges appends a list of ages.
 func appendAges(data []byte, ages []time.Duration) []byte {
 	data = binary.AppendUvarint(data, uint64(len(ages)))
 	for _, age := range ages {
--- a/internal/outlier/detector.go
+++ b/internal/outlier/detector.go
@@ -61,12 +61,14 @@
 	published snapshot.Holder[map[string]judged]
 	mu        sync.Mutex
 	processes map[string]*process
-	unsent    bool
-	waking    bool
-	sentAt    time.Time
+	// unsent is set while there is something to tell that doesn't wait for the next
+	// regular message, waking while a signal on Changes is scheduled.
+	unsent, waking bool
+	// sentAt is when the last message that was not a regular one was sent.
+	sentAt time.Time
 }
 
-// process is what is known of an endpoint process that fails.
+// process is what is known of an endpoint process that has failed.
 type process struct {
 	endpoint roster.Endpoint
 	// seen has what instances saw, by name.
@@ -76,7 +78,7 @@
 	// ejected is set while the process is judged to be failing; own if only by what this
 	// instance saw.
 	ejected, own bool
-	// ejections counts the ejections and failed probes.
+	// ejections counts the ejections and failed probes; a return doesn't reset it.
 	ejections int
 	ejectedAt time.Time
 	// reopensAt is when the first probe may be sent.
@@ -115,6 +117,19 @@
 		}
 		return
 	}
+	de.addOwn(pr, sg, now, sent)
+	isUrgent := sg == failure || pr.isDoubtful()
+	de.review(pr, now)
+	if isUrgent {
+		// Other successes are told with the next regular message.
+		de.unsent, pr.unsent = true, true
+		de.wake()
+	}
+}
+
+// addOwn adds a failure, or else a success, to what this instance saw of a process. The
+// caller must hold mu.
+func (de *Detector) addOwn(pr *process, sg sign, now, sent time.Time) {
 	si := pr.seen[de.Instance]
 	si.zone = de.Zone
 	if sg == failure {
@@ -123,13 +138,6 @@
 		si.successes = appendTime(si.successes, sent)
 	}
 	pr.seen[de.Instance] = si
-	isNews := sg == failure || pr.isDoubtful()
-	de.review(pr, now)
-	if isNews {
-		// Other successes are told with the next regular message.
-		de.unsent, pr.unsent = true, true
-		de.wake()
-	}
 }
 
 // Begin records that a request is sent to an endpoint. If the endpoint is set aside, it is
@@ -177,7 +185,7 @@
 	switch {
 	case pr.ejected && de.hasRecovered(pr, ve):
 		pr.ejected, pr.since, pr.probing = false, now, false
-		de.report(pr, ChangeReturned, ve, now)
+		de.logChange(pr, ChangeReturned, ve, now)
 	case pr.ejected && ve.lastFailure.After(pr.reopensAt):
 		de.eject(pr, ve, now, ChangeProbeFailed)
 	case !pr.ejected && ve.failing:
@@ -188,7 +196,7 @@
 	de.publish()
 }
 
-// doubt lets a process be doubted if the last requests known of failed. The caller must
+// doubt marks a process as doubted if its newest known requests failed. The caller must
 // hold mu.
 func (de *Detector) doubt(pr *process, ve verdict) {
 	pr.doubtedUntil = time.Time{}
@@ -208,15 +216,16 @@
 	return !success.Before(pr.ejectedAt) && success.After(failure)
 }
 
+// eject sets a process aside, for longer each time. The caller must hold mu.
 func (de *Detector) eject(pr *process, ve verdict, now time.Time, ch Change) {
 	pr.ejected, pr.own = true, ve.own || pr.ejected && pr.own
 	pr.reopensAt = now.Add(min(initialEjection<<min(pr.ejections, 8), maxEjection))
 	pr.ejections++
-	de.report(pr, ch, ve, now)
+	de.logChange(pr, ch, ve, now)
 }
 
-// report logs and counts a change of the judgement, with what decided.
-func (de *Detector) report(pr *process, ch Change, ve verdict, now time.Time) {
+// logChange logs and counts a change of the judgement, with what decided.
+func (de *Detector) logChange(pr *process, ch Change, ve verdict, now time.Time) {
 	de.counters.Count(de.Scope, "outliers", changes, ch)
 	line := de.Log.Info().Str("endpoint", pr.endpoint.ID).Str("zone", pr.endpoint.Zone).Int64("started", pr.endpoint.Started).
 		Int("failures", ve.failures).Int("successes", ve.successes).Int("in_row", ve.inRow).Int("reporters", ve.reporters).Bool("own", pr.own).Int("ejections", pr.ejections)
@@ -227,7 +236,8 @@
 	line.Str("event", "endpoint_ejected").Str("why", string(ch)).Dur("until_probe", pr.reopensAt.Sub(now)).Msg("outlier: requests at an endpoint fail; it is set aside")
 }
 
-// Forget drops what is known of endpoints for which known returns false.
+// Forget drops what is known of endpoints for which known returns false, and of those
+// without a failure for ejectionMemory.
 func (de *Detector) Forget(known func(id string) bool) {
 	now := de.Clock.Now()
 	de.mu.Lock()
--- a/internal/outlier/judgement.go
+++ b/internal/outlier/judgement.go
@@ -10,7 +10,8 @@
 	// a process is set aside.
 	failuresInRow = 3
 	// successesPerFailureInRow is the number of successes in the window for which the row
-	// must have one failure: an endpoint that serves many has such rows by chance.
+	// must have one failure: an endpoint that serves many requests has a few consecutive
+	// failures by chance.
 	successesPerFailureInRow = 8
 	// minFailures is the number of failures after which a process is set aside that
 	// fails at least as often as it succeeds.
@@ -19,46 +20,49 @@
 	// they are the instance's own.
 	minReporters = 2
 	// maxShare is the share of a service's endpoints that may be set aside. One always
-	// may, if there are others.
+	// may: if there is no other, it gets the requests all the same, at a higher cost.
 	maxShare = 1.0 / 3
 	// maxZoneShare is the share of the endpoints of a service in one zone that may be set
 	// aside. One always may.
 	maxZoneShare = 1.0 / 2
-	// minBlind is the least number of failing endpoints for which an instance is left
-	// out, if they are more than maxShare of the service.
-	minBlind = 3
+	// minUnreliable is the least number of failing endpoints for which the reports of an
+	// instance don't count, if they are more than maxShare of the service. In a service
+	// with fewer endpoints, all of them must fail.
+	minUnreliable = 3
 )
 
 // evidence is the sum of sightings of one process, by which it is judged.
 type evidence struct {
 	failures, successes int
-	// inRow counts the failures since the newest success.
+	// inRow counts the consecutive failures since the newest success.
 	inRow                    int
 	reporters                int
 	lastFailure, lastSuccess time.Time
 }
 
+// evidenceOf sums up the sightings of one process.
 func evidenceOf(list []sightings) evidence {
-	var ta evidence
+	var ev evidence
 	for _, si := range list {
-		ta.failures += len(si.failures)
-		ta.successes += len(si.successes)
+		ev.failures += len(si.failures)
+		ev.successes += len(si.successes)
 		if len(si.failures) > 0 {
-			ta.reporters++
+			ev.reporters++
 		}
-		ta.lastFailure = latest(ta.lastFailure, last(si.failures))
-		ta.lastSuccess = latest(ta.lastSuccess, last(si.successes))
+		ev.lastFailure = latest(ev.lastFailure, last(si.failures))
+		ev.lastSuccess = latest(ev.lastSuccess, last(si.successes))
 	}
 	for _, si := range list {
 		for _, at := range si.failures {
-			if at.After(ta.lastSuccess) {
-				ta.inRow++
+			if at.After(ev.lastSuccess) {
+				ev.inRow++
 			}
 		}
 	}
-	return ta
+	return ev
 }
 
+// latest returns the later of two times.
 func latest(a, b time.Time) time.Time {
 	if b.After(a) {
 		return b
@@ -66,15 +70,16 @@
 	return a
 }
 
-func (ta evidence) isFailing() bool {
-	return ta.inRow >= max(failuresInRow, ta.successes/successesPerFailureInRow) || ta.failures >= minFailures && ta.failures >= ta.successes
+// isFailing reports whether the evidence suffices to set a process aside.
+func (ev evidence) isFailing() bool {
+	return ev.inRow >= max(failuresInRow, ev.successes/successesPerFailureInRow) || ev.failures >= minFailures && ev.failures >= ev.successes
 }
 
 // verdict is the judgement on one process.
 type verdict struct {
 	evidence
 	failing bool
-	// own is set if only what this instance saw itself speaks against the process.
+	// own is set if only the failures that this instance saw itself decide.
 	own bool
 }
 
@@ -82,10 +87,10 @@
 // must hold mu.
 func (de *Detector) judge(pr *process, since time.Time) verdict {
 	all := evidenceOf(de.relevant(pr, since, nil))
-	if all.speaksAgainst() {
-		all = evidenceOf(de.relevant(pr, since, de.blindInstances(pr.endpoint.Service)))
+	if all.isConfirmed() {
+		all = evidenceOf(de.relevant(pr, since, de.unreliableInstances(pr.endpoint.Service)))
 	}
-	if all.speaksAgainst() {
+	if all.isConfirmed() {
 		return verdict{evidence: all, failing: true}
 	}
 	own := evidenceOf([]sightings{pr.seen[de.Instance].after(since)})
@@ -95,18 +100,18 @@
 	return verdict{evidence: all}
 }
 
-// speaksAgainst reports whether several instances have seen an endpoint failing.
-func (ta evidence) speaksAgainst() bool { return ta.reporters >= minReporters && ta.isFailing() }
+// isConfirmed reports whether an endpoint is failing and several instances saw failures.
+func (ev evidence) isConfirmed() bool { return ev.reporters >= minReporters && ev.isFailing() }
 
 // relevant returns the sightings that count for this instance: those of instances of its
-// zone and of the endpoint's, and all if instances of two zones saw failures. Those of blind
-// instances don't count. The caller must hold mu.
-func (de *Detector) relevant(pr *process, since time.Time, blind map[string]bool) []sightings {
+// zone and of the endpoint's, and all if instances of two zones saw failures. Those of
+// unreliable instances don't count. The caller must hold mu.
+func (de *Detector) relevant(pr *process, since time.Time, unreliable map[string]bool) []sightings {
 	var near, far []sightings
 	zones := make(map[string]bool)
 	for name, si := range pr.seen {
 		si = si.after(since)
-		if si.isEmpty() || blind[name] {
+		if si.isEmpty() || unreliable[name] {
 			continue
 		}
 		if len(si.failures) > 0 {
@@ -124,9 +129,9 @@
 	return near
 }
 
-// blindInstances returns the instances that fail at so many endpoints of a service that their
-// own links are the likelier cause. The caller must hold mu.
-func (de *Detector) blindInstances(service string) map[string]bool {
+// unreliableInstances returns the instances that fail at so many endpoints of a service
+// that their own links are the likelier cause. The caller must hold mu.
+func (de *Detector) unreliableInstances(service string) map[string]bool {
 	failing := make(map[string]int)
 	for _, pr := range de.processes {
 		if pr.endpoint.Service != service {
@@ -139,13 +144,13 @@
 		}
 	}
 	ready := len(de.Roster.View().Ready(service))
-	blind := make(map[string]bool)
+	unreliable := make(map[string]bool)
 	for name, count := range failing {
-		if count >= min(minBlind, ready) && float64(count) > maxShare*float64(ready) {
-			blind[name] = true
+		if count >= min(minUnreliable, ready) && float64(count) > maxShare*float64(ready) {
+			unreliable[name] = true
 		}
 	}
-	return blind
+	return unreliable
 }
 
 // group is the endpoints of a service in one zone, or in all if zone is empty.
@@ -188,6 +193,7 @@
 	}
 }
 
+// isWithin reports whether count is at most a share of total, or at most one.
 func isWithin(count, total int, share float64) bool {
 	return count <= 1 || float64(count) <= share*float64(total)
 }
--- a/internal/outlier/probe.go
+++ b/internal/outlier/probe.go
@@ -43,6 +43,7 @@
 	}
 }
 
+// lookup returns the published judgement on an endpoint's process.
 func (de *Detector) lookup(en roster.Endpoint) (judged, bool) {
 	all := de.published.Load()
 	if all == nil {
@@ -67,7 +68,7 @@
 }
 
 // probeDelay returns how long after the first instance this one may send a probe. By a
-// hash, about one instance may at once, two after a probeStep, four after two, and so on.
+// hash, about one instance may at once, two after one probeStep, four after two, and so on.
 // An endpoint that only this instance has set aside is probed by this instance alone.
 func (de *Detector) probeDelay(pr *process) time.Duration {
 	instances := de.Instances()
@@ -76,6 +77,6 @@
 	}
 	const steps = 1 << 32
 	key := de.Instance + "/" + pr.endpoint.ID + "/" + strconv.FormatInt(pr.endpoint.Started, 10) + "/" + strconv.Itoa(pr.ejections)
-	place := float64(instances) * float64(xxhash.Sum64String(key)%steps) / steps
-	return probeStep * time.Duration(math.Ceil(math.Log2(max(place, 1))))
+	rank := float64(instances) * float64(xxhash.Sum64String(key)%steps) / steps
+	return probeStep * time.Duration(math.Ceil(math.Log2(max(rank, 1))))
 }
--- a/internal/outlier/share.go
+++ b/internal/outlier/share.go
@@ -88,6 +88,7 @@
 	})
 }
 
+// signal sends on Changes, or does nothing if the channel is full.
 func (de *Detector) signal() {
 	select {
 	case de.Changes <- struct{}{}:
@@ -106,11 +107,12 @@
 		if !known || en.Started != re.Started {
 			continue
 		}
-		de.mergeOne(instance, en, sightings{zone: zone, failures: times(re.Failures, now), successes: times(re.Successes, now)}, now)
+		de.mergeReport(instance, en, sightings{zone: zone, failures: times(re.Failures, now), successes: times(re.Successes, now)}, now)
 	}
 }
 
-func (de *Detector) mergeOne(instance string, en roster.Endpoint, si sightings, now time.Time) {
+// mergeReport records what another instance has seen of one process. The caller must hold mu.
+func (de *Detector) mergeReport(instance string, en roster.Endpoint, si sightings, now time.Time) {
 	pr := de.process(en, len(si.failures) > 0)
 	if pr == nil {
 		return
--- a/internal/placement/doc.go
+++ b/internal/placement/doc.go
@@ -11,6 +11,10 @@
 // its engine crashes or becomes unreachable, is placed on an engine with free
 // memory (standby.go).
 //
+// Zones decides which zones a request may be sent to (locality.go). Endpoints that fail
+// while others do not (outlier.go), and all of a zone where connections to several fail
+// (zonefailure.go), cost more for a time.
+//
 // # Usage
 //
 //	lt := &placement.LoadTracker{Clock: clock, Zone: "zilina-a", Instance: "edge-1"}
--- a/internal/placement/load_tracker.go
+++ b/internal/placement/load_tracker.go
@@ -28,7 +28,7 @@
 	// counts.
 	Zone string
 	// Service and Request are the name of the service and the ID of the request. Zones
-	// decides only on demands that have them.
+	// decides only on demands with a Service.
 	Service string
 	Request string
 	// margin is that of the request's Admission.
@@ -57,8 +57,9 @@
 	Outliers Outliers
 	// OnZoneFailing is called, with locks held, when a zone begins to fail. It may be nil.
 	OnZoneFailing func(FailingZone)
-	// Zones decides which zones requests may be sent to. If it is nil, other zones have
-	// a fixed extra cost, and running calls to plain services are not reported.
+	// Zones decides which zones requests may be sent to. If it is nil, only the extra
+	// cost of endpoints in other zones does, and running calls to plain services are not
+	// reported, except as Emptying says.
 	Zones Zones
 
 	mu       sync.Mutex
@@ -97,7 +98,7 @@
 
 // Load is the load of one endpoint, as instances report it to each other.
 type Load struct {
-	// Running is the number of generations in flight.
+	// Running is the number of generations in flight, or of calls to a plain service.
 	Running int
 	// PrefillTokens is the number of prompt tokens still to be prefilled.
 	PrefillTokens int
@@ -243,11 +244,11 @@
 	return cost
 }
 
-// tieBreak returns a stable pseudo-random number in [0, 1) for an instance and
+// tieBreak returns a stable pseudo-random number in [0, 1) for an instance or request and
 // an endpoint.
-func tieBreak(instance, endpoint string) float64 {
+func tieBreak(key, endpoint string) float64 {
 	const steps = 1 << 16
-	return float64(xxhash.Sum64String(instance+"/"+endpoint)%steps) / steps
+	return float64(xxhash.Sum64String(key+"/"+endpoint)%steps) / steps
 }
 
 // decay returns the factor by which a score of the given age has decayed.
@@ -255,8 +256,8 @@
 	return math.Exp2(-float64(age) / float64(halfLife))
 }
 
-// Loads returns the load that this instance places on endpoints. Plain services are left
-// out if Zones is nil.
+// Loads returns the load that this instance places on endpoints. If Zones is nil, those of
+// plain services are left out unless Emptying returns true for them.
 func (lt *LoadTracker) Loads() map[string]Load {
 	lt.mu.Lock()
 	defer lt.mu.Unlock()
--- a/internal/placement/locality.go
+++ b/internal/placement/locality.go
@@ -60,8 +60,8 @@
 )
 
 // Choose returns the endpoint of lowest cost, leaving out those whose ID is in
-// exclude, in the zones that Zones admits. It returns false if no endpoint is usable
-// now.
+// exclude, in the zones that Zones admits, or in any zone if no endpoint there has room. It
+// returns false if no endpoint is usable now.
 func (lt *LoadTracker) Choose(list []roster.Endpoint, dm Demand, exclude map[string]bool) (Choice, bool) {
 	now := lt.Clock.Now()
 	lt.mu.Lock()
@@ -74,7 +74,7 @@
 	if ch, found := lt.choose(lt.admitted(list, ad, now), dm, exclude, now); found && ch.Cost < exhaustedCost {
 		return ch, true
 	}
-	// No endpoint in the admitted zones takes the request.
+	// No endpoint in the admitted zones has room for the request.
 	ad.Home, ad.Leaves = true, true
 	if ch, found := lt.choose(lt.admitted(list, ad, now), dm, exclude, now); found {
 		return ch, true
@@ -83,7 +83,8 @@
 }
 
 // zonesApply reports whether Zones decides on a request. The target of a migration
-// depends on the zone of the KV cache instead.
+// depends on the zone of the KV cache instead, and the demands of reservation.Allocator
+// have no service: for both, the extra cost of another zone decides.
 func (lt *LoadTracker) zonesApply(dm Demand) bool {
 	return lt.Zones != nil && dm.Service != "" && dm.Zone == ""
 }
@@ -108,7 +109,7 @@
 	return lt.zonePaths[zone].failureScore(now) < lostPathScore
 }
 
-// remoteZoneCost returns the cost of an endpoint in another zone. The loads there are
+// remoteZoneCost returns the extra cost of an endpoint in another zone. The loads there are
 // told late: instances that know the same of them spread over endpoints that differ
 // by less than spreadCost.
 func (lt *LoadTracker) remoteZoneCost(en roster.Endpoint, dm Demand) float64 {
--- a/internal/placement/outlier.go
+++ b/internal/placement/outlier.go
@@ -10,8 +10,8 @@
 	// setAsideCost applies to an endpoint that is set aside. It exceeds all other costs of
 	// a usable endpoint, so that it gets a request only if there is no other.
 	setAsideCost = 50_000.0
-	// doubtCost applies to an engine that is doubted. It is that of an exhausted engine: one
-	// that fails at once looks idle.
+	// doubtCost applies to an engine that is doubted. It equals exhaustedCost: an engine that
+	// fails at once has no load.
 	doubtCost = 2000.0
 )
 
@@ -62,8 +62,8 @@
 	return cost
 }
 
-// began tells Outliers that a request is sent to an endpoint.
-func (lt *LoadTracker) began(en roster.Endpoint) {
+// recordBegin tells Outliers that a request is sent to an endpoint.
+func (lt *LoadTracker) recordBegin(en roster.Endpoint) {
 	if lt.Outliers != nil {
 		lt.Outliers.Begin(en)
 	}
@@ -81,8 +81,8 @@
 	}
 }
 
-// recordEnd records the end of an attempt. Done is not a sign that the endpoint takes
-// requests: Answered is.
+// recordEnd records the end of an attempt. Done counts as Abandoned here: Answered has
+// recorded the success already.
 func (ti *Ticket) recordEnd(ou Outcome) {
 	if ou == Done {
 		ou = Abandoned
--- a/internal/placement/ticket.go
+++ b/internal/placement/ticket.go
@@ -33,7 +33,7 @@
 	lt.mu.Lock()
 	defer lt.mu.Unlock()
 	ti := &Ticket{tracker: lt, id: en.ID, endpoint: en, sentAt: lt.Clock.Now()}
-	lt.began(en)
+	lt.recordBegin(en)
 	lt.countSent(en)
 	ac := lt.account(en.ID)
 	ac.inFlight++
--- a/internal/placement/zonefailure.go
+++ b/internal/placement/zonefailure.go
@@ -18,17 +18,18 @@
 	zoneFailurePeriod = time.Second
 )
 
-// FailingZone is a zone whose endpoints of one service can't be reached one after the
-// other.
+// FailingZone is a zone in which connections to several endpoints of one service fail
+// within zoneFailurePeriod.
 type FailingZone struct {
 	Service, Zone string
-	// Endpoints are those to which connections failed since the last success.
+	// Endpoints is the number of those to which connections failed within
+	// zoneFailurePeriod and since the last success.
 	Endpoints int
 }
 
 // zoneFailures has the failed connections to endpoints by service and zone, the instance's
-// own zone included. Unlike zonePath it stands for the endpoints, not for the link, and
-// ends soon. The zero value is empty.
+// own zone included. Unlike zonePath it is about the endpoints, not the link, and has no
+// effect after zoneFailurePeriod. The zero value is empty.
 type zoneFailures map[zoneKey]*zoneFailure
 
 type zoneKey struct{ service, zone string }
--- a/internal/spillover/admit.go
+++ b/internal/spillover/admit.go
@@ -9,14 +9,14 @@
 // shortShare is the share up to which only requests with short answers leave the zone.
 const shortShare = 0.5
 
-// admit returns the zones for one request.
+// admit returns the zones that one request may be sent to.
 func (sv *service) admit(dm placement.Demand, home string) placement.Admission {
 	zo := sv.zones[home]
 	switch {
 	case zo == nil:
 		// Nothing has been computed yet.
 		return placement.Admission{Restricted: true, Home: true}
-	case !sv.spread:
+	case !sv.hasRemoteZones:
 		return placement.Admission{}
 	}
 	ad := placement.Admission{Restricted: true, Home: true, Lenders: zo.lenders, Margin: sv.part(leaveShare)}
--- a/internal/spillover/controller.go
+++ b/internal/spillover/controller.go
@@ -20,7 +20,8 @@
 const (
 	// evaluationInterval is the time between two evaluations of a service's shares.
 	evaluationInterval = 100 * time.Millisecond
-	// demandWeight is the weight of one request in the means of a service's demands.
+	// demandWeight is the weight of one request in the moving averages of a service's
+	// demands.
 	demandWeight = 0.05
 	// loggedChange is the change of a share from which it is logged again, and
 	// leastLogged the share from which it is logged at all.
@@ -80,7 +81,7 @@
 	list := co.Services()
 	co.prune(list)
 	for _, se := range list {
-		loads := co.Loads(se.Name, co.describe(se))
+		loads := co.Loads(se.Name, co.configure(se))
 		co.mu.Lock()
 		sv := co.service(se.Name)
 		sv.update(loads, co.Zone, now)
@@ -98,9 +99,9 @@
 	})
 }
 
-// describe takes over what the configuration says of a service and returns a typical
-// demand.
-func (co *Controller) describe(se Service) placement.Demand {
+// configure records what the configuration says of a service. It returns the mean demand
+// of its requests.
+func (co *Controller) configure(se Service) placement.Demand {
 	co.mu.Lock()
 	defer co.mu.Unlock()
 	sv := co.service(se.Name)
@@ -138,7 +139,7 @@
 	return sv
 }
 
-// learn takes a request into the means of a service.
+// learn adds a request to the moving averages of a service.
 func (sv *service) learn(dm placement.Demand) {
 	if sv.typical.Prompt == 0 {
 		sv.typical.Prompt, sv.typical.Output = dm.Prompt, dm.Output
--- a/internal/spillover/doc.go
+++ b/internal/spillover/doc.go
@@ -4,18 +4,22 @@
 // A request stays in its zone as long as the expected wait there is not much longer
 // than in another zone. Beyond that, a share of the requests goes to zones that have
 // room, the requests with short answers first: a long stream is exposed for longer to
-// a cut between the zones. What counts as much is a part of the objective of the
-// service's routes, so that callers would notice (share.go).
+// a cut between the zones. The difference that matters is a part of the shortest
+// objective of the service's routes (share.go).
 //
 // Each instance decides by itself from the loads that all instances tell each other
 // (internal/loadshare). It computes the shares of all zones by the same rules, so it
-// also knows, without a message, which other zones spill over themselves: nothing is
-// sent to those. Whether one request leaves follows from a hash of its ID, so that all
+// also knows, without a message, which other zones spill over themselves: those are no
+// lenders. Whether one request leaves follows from a hash of its ID, so that all
 // instances of a zone agree on it (admit.go).
 //
 // Shares rise and fall by a limited amount a second. If a zone has no sound endpoint,
 // all of its requests leave at once; they return gradually.
 //
+// A demand without a service is not decided here. Those of the zone's allocator, which
+// chooses engines in zones with four or more instances (internal/reservation), have none:
+// for them the extra cost of another zone decides.
+//
 // The package does no network I/O. A Controller implements placement.Zones.
 //
 // # Usage
--- a/internal/spillover/share.go
+++ b/internal/spillover/share.go
@@ -59,7 +59,9 @@
 	objective time.Duration
 	// loggedShare is the share that was logged last.
 	loggedShare float64
-	spread      bool
+	// hasRemoteZones is set if the service has endpoints in a zone other than the
+	// instance's.
+	hasRemoteZones bool
 }
 
 // update brings the state of all zones up to date. home is the zone whose paths to
@@ -74,10 +76,10 @@
 	for name, zo := range sv.zones {
 		lenders[name] = sv.lendersOf(name, zo, name == home)
 	}
-	spilling := sv.spillingZones()
+	borrowers := sv.countBorrowers()
 	for name, zo := range sv.zones {
 		zo.lenders = lenders[name]
-		sv.decide(zo, spilling, elapsed)
+		sv.decide(zo, borrowers, elapsed)
 	}
 }
 
@@ -103,7 +105,7 @@
 	if sv.zones[home] == nil {
 		sv.zones[home] = &zone{}
 	}
-	sv.spread = len(loads) > 1 || len(loads) == 1 && loads[0].Zone != home
+	sv.hasRemoteZones = len(loads) > 1 || len(loads) == 1 && loads[0].Zone != home
 }
 
 // lendersOf returns the zones that may take requests of a zone: those that do not spill
@@ -114,20 +116,20 @@
 	if zo.spilling {
 		margin = sv.part(leaveShare)
 	}
-	var list, crowded []string
+	var list, reachable []string
 	for _, other := range slices.Sorted(maps.Keys(sv.zones)) {
 		le := sv.zones[other]
 		if other == name || le.load.Sound == 0 || own && !le.load.Reachable {
 			continue
 		}
-		crowded = append(crowded, other)
-		idle := !le.spilling && le.share == 0 && le.freeShare() > lenderAllowance
-		if idle && (zo.load.Sound == 0 || zo.returning || le.load.Wait+margin < zo.load.Wait) {
+		reachable = append(reachable, other)
+		lends := !le.spilling && le.share == 0 && le.freeShare() > lenderAllowance
+		if lends && (zo.load.Sound == 0 || zo.returning || le.load.Wait+margin < zo.load.Wait) {
 			list = append(list, other)
 		}
 	}
 	if len(list) == 0 && zo.load.Sound == 0 {
-		return crowded
+		return reachable
 	}
 	return list
 }
@@ -141,9 +143,10 @@
 	return free
 }
 
+// ratio returns a part of a whole, which counts as at least one.
 func ratio(part, whole int) float64 { return float64(part) / float64(max(whole, 1)) }
 
-// part returns a part of the objective.
+// part returns a part of the objective, or of defaultObjective if there is none.
 func (sv *service) part(share float64) time.Duration {
 	objective := sv.objective
 	if objective <= 0 {
@@ -152,8 +155,9 @@
 	return time.Duration(share * float64(objective))
 }
 
-// spillingZones returns the number of zones that spill over.
-func (sv *service) spillingZones() int {
+// countBorrowers returns the number of zones that spill over or whose requests are
+// still returning.
+func (sv *service) countBorrowers() int {
 	count := 0
 	for _, zo := range sv.zones {
 		if zo.spilling || zo.share > 0 {
@@ -163,8 +167,9 @@
 	return count
 }
 
-// decide moves the share of a zone.
-func (sv *service) decide(zo *zone, spilling int, elapsed time.Duration) {
+// decide moves the share of a zone towards its target. borrowers is the number of zones
+// that divide the lenders' room.
+func (sv *service) decide(zo *zone, borrowers int, elapsed time.Duration) {
 	zo.absent = zo.load.Sound == 0
 	if zo.absent {
 		zo.share, zo.returning, zo.spilling = 1, true, false
@@ -184,7 +189,7 @@
 	target := 0.0
 	if zo.spilling {
 		target = float64(excess-sv.part(leaveShare)) / float64(sv.part(fullShare)-sv.part(leaveShare))
-		target = min(target, sv.lent(zo, max(spilling, 1)))
+		target = min(target, sv.maxShare(zo, max(borrowers, 1)))
 	}
 	zo.share = approach(zo.share, target, elapsed)
 	if zo.share == 0 {
@@ -201,11 +206,12 @@
 	return excess
 }
 
-// lent returns the share of a zone's requests for which its lenders have room beside what
-// they keep for their own callers, if the given number of zones divides it. Requests to
-// engines still compare loads; of calls to plain services exactly the share leaves, so
-// that it is the one at which the room is used like the zone's own slots.
-func (sv *service) lent(zo *zone, zones int) float64 {
+// maxShare returns the largest share of a zone's requests for which its lenders have room
+// beside what they keep for their own callers, if the given number of zones divides it.
+// For engines it is the room over the requests that run in the zone: those that may leave
+// still compare costs. Of calls to plain services exactly the share leaves, so that it is
+// the room over the sum of the room and the zone's own slots.
+func (sv *service) maxShare(zo *zone, zones int) float64 {
 	room := 0.0
 	for _, name := range zo.lenders {
 		le := sv.zones[name]
