rollout: read as a newcomer: names, comments, one set of log events

Nothing else that leaves the process changed. - Splits: Registry.stop, Registry.setOwnShare, Exchange.reportsDue and sendList. - Renames of unexported names, comments, docs. No test was changed.

Passed: go build ./..., go vet and gofmt of the touched packages; go test ./internal/rollout without TestFleets, and TestFleets by 6, 95 and 340 instances; ./internal/loadshare, relay, migration, trace, dispatch and gateway; ./platform: GoodVersionIsCompleted, BadVersionIsRolledBack, OrdersOfRollOuts, SettingsOfRollOuts, StatusOfRollOut, Settings, SettingsThatAreWrong, StoreAway, StoreRestoredFromOlderCopy. Comments in two files changed after some of these runs. Not run: the rest of ./platform, the benchmarks, the linter.

--- a/internal/dispatch/rollout.go
+++ b/internal/dispatch/rollout.go
@@ -29,8 +29,8 @@
 	Record(en roster.Endpoint, sa rollout.Sample)
 }
 
-// permitted returns those of the ready endpoints that a roll-out of the service leaves
-// to the task. A repeated attempt is not one for a version on trial.
+// permitted returns those of the ready endpoints that the task may use during a roll-out
+// of the service. A repeated attempt may not use a version on trial.
 func (di *Dispatcher) permitted(ta *task, ready []roster.Endpoint) []roster.Endpoint {
 	if di.Rollouts == nil {
 		return ready
@@ -42,7 +42,7 @@
 	return di.Rollouts.Filter(ta.service.Name, key, ready)
 }
 
-// isPermitted reports whether an endpoint is still left to the task after a wait.
+// isPermitted reports whether the task may still use an endpoint after a wait.
 func (di *Dispatcher) isPermitted(ta *task, en roster.Endpoint) bool {
 	return di.Rollouts == nil || slices.ContainsFunc(di.permitted(ta, di.Roster.View().Ready(ta.service.Name)), func(other roster.Endpoint) bool {
 		return other.ID == en.ID
--- a/internal/gateway/rollout.go
+++ b/internal/gateway/rollout.go
@@ -31,8 +31,8 @@
 	// statusPause is the pause after a write of a status that succeeded, so that the
 	// store's change arrives before the next one, or that failed.
 	statusPause = 300 * time.Millisecond
-	// offerTime is the time for which a transition stays due. The registry repeats it
-	// sooner.
+	// offerTime is the time for which a transition that Next returned stays due. Next
+	// returns it again sooner if it still is.
 	offerTime = 400 * time.Millisecond
 	// zoneTurn is how much later the evaluator of each further zone writes a status:
 	// by then it knows of the write of another one, unless that failed.
@@ -143,7 +143,7 @@
 	})
 }
 
-// logVerdict logs what a version was found to be, if that is what a transition tells.
+// logVerdict logs the counts by which an evaluator promotes a target or rolls it back.
 func (ro *rollouts) logVerdict(tr rollout.Transition) {
 	if tr.State != rollout.Promoting && tr.State != rollout.RolledBack {
 		return
@@ -168,8 +168,8 @@
 	ro.seen = current
 }
 
-// awaitsWrite reports whether the next write must wait, and takes the result of the last
-// one.
+// awaitsWrite takes the result of the write in progress, if it has arrived, and reports
+// whether the next write must wait.
 func (ro *rollouts) awaitsWrite() bool {
 	if ro.writing == nil {
 		return ro.gw.Clock.Now().Before(ro.pausedUntil)
--- a/internal/gateway/sink.go
+++ b/internal/gateway/sink.go
@@ -62,20 +62,6 @@
 	cs.onAnswer()
 }
 
-// endpointSink updates the roster. It also reports answered calls to the relay log,
-// so that other instances learn how old the roster is.
-type endpointSink struct {
-	*roster.Roster
-	// onAnswer is called with the boot time at which an answered call started.
-	onAnswer func(start time.Duration)
-}
-
-// CallAnswered implements feed.Sink.
-func (es *endpointSink) CallAnswered(start time.Duration) {
-	es.Roster.CallAnswered(start)
-	es.onAnswer(start)
-}
-
 // CallFailed implements feed.Sink.
 func (cs *configurationSink) CallFailed(error) { cs.onFailure() }
 
@@ -95,6 +81,20 @@
 	}
 }
 
+// endpointSink updates the roster. It also reports answered calls to the relay log,
+// so that other instances learn how old the roster is.
+type endpointSink struct {
+	*roster.Roster
+	// onAnswer is called with the boot time at which an answered call started.
+	onAnswer func(start time.Duration)
+}
+
+// CallAnswered implements feed.Sink.
+func (es *endpointSink) CallAnswered(start time.Duration) {
+	es.Roster.CallAnswered(start)
+	es.onAnswer(start)
+}
+
 // evacuationSink tracks the zones that operators have evacuated.
 type evacuationSink struct {
 	roster *roster.Roster
--- a/internal/loadshare/rollout.go
+++ b/internal/loadshare/rollout.go
@@ -34,15 +34,17 @@
 
 // reportState is what was last sent of the reports.
 type reportState struct {
-	sentAt  time.Time
-	unsent  bool
+	sentAt time.Time
+	// unsent is set if there is something new since then.
+	unsent bool
+	// stopped is the number of sent reports that say that a version is bad.
 	stopped int
 }
 
-// SendReports sends the reports of this instance, if there is something new or if it is
-// due to be repeated: what an evaluator reports and what has been found bad to all
-// instances, other reports only to evaluators, which returns the instances that evaluate
-// a service. One goroutine calls it several times a second.
+// SendReports sends the reports of this instance, if there is something new or if they
+// are due to be repeated. Reports of an evaluator, and those that say that a version is
+// bad, go to all instances; others go to the instances that evaluators returns, which
+// evaluate the service. One goroutine calls it several times a second.
 func (ex *Exchange) SendReports(evaluators func(service string) []Member) {
 	if ex.Rollouts == nil {
 		return
@@ -60,12 +62,21 @@
 		}
 	}
 	now := ex.Clock.Now()
-	since := now.Sub(rs.sentAt)
-	interval := min(minReportInterval+time.Duration(len(ex.Members.List()))*reportIntervalPerInstance, heartbeat)
-	if stopped <= rs.stopped && since < heartbeat && (!rs.unsent || since < interval) {
+	if stopped <= rs.stopped && !ex.reportsDue(now.Sub(rs.sentAt)) {
 		return
 	}
 	*rs = reportState{sentAt: now, stopped: stopped}
+	ex.sendList(list, evaluators)
+}
+
+// reportsDue reports whether reports are sent again after a time since the last ones.
+func (ex *Exchange) reportsDue(since time.Duration) bool {
+	interval := min(minReportInterval+time.Duration(len(ex.Members.List()))*reportIntervalPerInstance, heartbeat)
+	return since >= heartbeat || ex.reports.unsent && since >= interval
+}
+
+// sendList sends each report to the instances that need it.
+func (ex *Exchange) sendList(list []rollout.Report, evaluators func(service string) []Member) {
 	for _, re := range list {
 		data := encodeReport(ex.Instance, re)
 		if re.Evaluator || re.Verdict == rollout.RolledBack {
@@ -165,8 +176,8 @@
 		re.Rows = append(re.Rows, ro)
 	}
 	// A share that is not a number fails both comparisons.
-	meant := re.Share >= 0 && re.Share <= 1 && re.Verdict <= rollout.RolledBack
-	if rd.malformed || len(rd.data) > 0 || instance == "" || !meant {
+	valid := re.Share >= 0 && re.Share <= 1 && re.Verdict <= rollout.RolledBack
+	if rd.malformed || len(rd.data) > 0 || instance == "" || !valid {
 		return "", rollout.Report{}, ErrMalformed
 	}
 	return instance, re, nil
--- a/internal/migration/evacuation.go
+++ b/internal/migration/evacuation.go
@@ -23,8 +23,8 @@
 type evacuation struct {
 	source roster.Endpoint
 	notice time.Time
-	// leavesAt is when the engine said that it leaves; nil if it stays for now, so that
-	// there is no hurry.
+	// leavesAt is when the engine said that it leaves; nil if it stays for now, and
+	// sinceNotice is zero.
 	leavesAt atomic.Pointer[time.Time]
 	attempts map[*Run]int
 	// full holds the IDs of engines that must not be chosen as a target: the
--- a/internal/relay/orders.go
+++ b/internal/relay/orders.go
@@ -30,7 +30,7 @@
 	count atomic.Int32
 	mu    sync.Mutex
 	list  []order
-	// sequence counts the changes, from 1 on.
+	// sequence counts the changes, from 1 on, and confirmations after staleTime.
 	sequence uint64
 	// confirmed is the boot time at which the store was known to have these orders;
 	// zero if it never was.
@@ -49,9 +49,9 @@
 	since time.Duration
 }
 
-// equal reports whether an order that was told again says nothing new. Ages that were
-// told over different ways differ a little.
-func (or order) equal(known order) bool {
+// addsNothing reports whether an order that was received again differs from the known one
+// at most by an age that is a little greater: ages depend on the way by which they came.
+func (or order) addsNothing(known order) bool {
 	const tolerance = time.Second
 	return or.Order == known.Order && known.since-or.since < tolerance
 }
@@ -74,7 +74,7 @@
 		next = append(next, order{Order: or.WithAge(0), since: since})
 	}
 	slices.SortFunc(next, func(a, b order) int { return cmp.Compare(a.Service, b.Service) })
-	if os.sequence > 0 && slices.EqualFunc(next, os.list, order.equal) {
+	if os.sequence > 0 && slices.EqualFunc(next, os.list, order.addsNothing) {
 		os.mu.Unlock()
 		return
 	}
@@ -110,19 +110,19 @@
 		os.confirmed = at
 		os.Registry.Confirmed(os.Clock.Now().Add(at - os.Boot.Now()))
 	}
-	news := at-before > staleTime && len(os.list) > 0
-	if news {
+	fresh := at-before > staleTime && len(os.list) > 0
+	if fresh {
 		os.sequence++
 	}
 	list := os.at(os.Boot.Now())
 	os.mu.Unlock()
-	if news && os.OnChange != nil {
+	if fresh && os.OnChange != nil {
 		os.OnChange(list, list)
 	}
 }
 
-// staleTime is the time between two confirmations after which the later one is told at
-// once, since instances do not use what was not confirmed lately.
+// staleTime is the time between two confirmations after which the later one is passed to
+// followers at once, since instances do not use what was not confirmed lately.
 const staleTime = 2 * time.Second
 
 // Has reports whether there is an order for a service.
@@ -154,7 +154,8 @@
 	return list
 }
 
-// changes returns the number of changes so far.
+// changes returns the number of changes so far, with the confirmations that Confirm
+// passes on at once.
 func (os *Orders) changes() uint64 {
 	if os == nil {
 		return 0
--- a/internal/rollout/control.go
+++ b/internal/rollout/control.go
@@ -7,16 +7,16 @@
 )
 
 const (
-	// controlTime is the time for which steps of the promotion are recent.
+	// controlTime is the age up to which a step of the promotion counts as recent.
 	controlTime = 1500 * time.Millisecond
-	// controlChance is the probability of as few bad answers of the old version as there
-	// were, if it gave them at the target's rate, up to which these answers confirm that
-	// the target is worse.
-	controlChance = 0.05
+	// controlLevel is the level of the binomial test that confirms a verdict: the greatest
+	// probability of as few bad answers as the old version gave, at the target's rate.
+	controlLevel = 0.05
 )
 
-// control has the answers of one step of the promotion, in which a small part of the
-// requests still goes to the old version. A failure that hits both versions shows there.
+// control has the answers of one step of the promotion. A small part of the requests still
+// goes to the old version as a control group, which shows failures that both versions
+// have.
 type control struct {
 	at                 time.Time
 	oldFails, newFails part
@@ -47,11 +47,11 @@
 		return false
 	}
 	rate := min(float64(target.bad)/float64(target.answers), 0.99)
-	chance := 0.0
+	probability := 0.0
 	for bad := range old.bad + 1 {
-		chance += math.Exp(logChoose(old.answers, bad) + float64(bad)*math.Log(rate) + float64(old.answers-bad)*math.Log(1-rate))
+		probability += math.Exp(logChoose(old.answers, bad) + float64(bad)*math.Log(rate) + float64(old.answers-bad)*math.Log(1-rate))
 	}
-	return chance <= controlChance
+	return probability <= controlLevel
 }
 
 func (pa *part) add(other part) {
--- a/internal/rollout/evidence.go
+++ b/internal/rollout/evidence.go
@@ -6,7 +6,7 @@
 // the odds of a bad answer are so many times those of the old version.
 var odds = [...]float64{4, 16, 64}
 
-// evidence is a betting score against the hypothesis that the target is no worse than
+// evidence is a test martingale (an e-process) against the hypothesis that the target is no worse than
 // the old version: one logarithm of a likelihood ratio for each of odds. While the
 // hypothesis holds, the mean of the ratios is a martingale that begins at 1, so that it
 // ever exceeds x with a probability of 1/x at most, however often it is looked at
--- a/internal/rollout/judge.go
+++ b/internal/rollout/judge.go
@@ -11,12 +11,15 @@
 	// falseAlarm bounds the probability with which one comparison finds a version bad
 	// that is no worse. A service has two for each route, and one for crashes.
 	falseAlarm = 0.0005
-	// otherOdds is the evidence that is needed without the worst endpoint.
-	otherOdds = 30
-	// doubtOdds and doubtOthers are the evidence that delays the decision.
-	doubtOdds   = 60
-	doubtOthers = 2
-	// outlierOdds is the evidence from one endpoint beyond which others are tried.
+	// oddsWithoutWorst is the likelihood ratio that a verdict needs without the answers of the
+	// endpoint that contributes most.
+	oddsWithoutWorst = 30
+	// doubtOdds, and doubtOddsWithoutWorst without that endpoint, are the likelihood ratios from
+	// which the decision is delayed.
+	doubtOdds             = 60
+	doubtOddsWithoutWorst = 2
+	// outlierOdds is the likelihood ratio that an endpoint contributes from which it is an
+	// outlier: the other endpoints of the target are then used before it.
 	outlierOdds = 25
 	// stepPeriod is the least time between two steps, longStep the time after which a
 	// step ends although the old version gave fewer than stepAnswers answers.
@@ -31,8 +34,8 @@
 	minMeasured = 10
 )
 
-// judge tells a bad version from what the old one gives on the same routes at the same
-// time.
+// judge compares the target's answers with those of the old version on the same routes at
+// the same time, by sequential tests.
 type judge struct {
 	routes  map[string]*routeJudge
 	crashes comparison
@@ -40,7 +43,8 @@
 	crashedOld int
 	crashedNew map[string]bool
 	crashAt    time.Time
-	moving     bool
+	// moving is set while the order is promoted.
+	moving bool
 }
 
 // routeJudge judges one route.
@@ -165,13 +169,13 @@
 // verdict reports whether the target is bad, and why. several is set if the target has
 // more than one endpoint.
 func (ju *judge) verdict(several bool) (string, bool) {
-	return ju.find(-math.Log(falseAlarm), math.Log(otherOdds), several)
+	return ju.find(-math.Log(falseAlarm), math.Log(oddsWithoutWorst), several)
 }
 
 // doubt reports whether there is some evidence against the target. It counts as a
 // verdict if it is left when the decision can't wait any longer.
 func (ju *judge) doubt(several bool) (string, bool) {
-	return ju.find(math.Log(doubtOdds), math.Log(doubtOthers), several)
+	return ju.find(math.Log(doubtOdds), math.Log(doubtOddsWithoutWorst), several)
 }
 
 // find returns the first comparison whose evidence reaches a limit, if there is
--- a/internal/rollout/ledger.go
+++ b/internal/rollout/ledger.go
@@ -23,16 +23,18 @@
 // ledger has the totals of one order: this instance's and the fleet's, which include
 // them.
 type ledger struct {
+	// own is the report of this instance without its rows, which are in rows and
+	// outliers. unsent is set if it has changed since Registry.Changed returned it.
 	own      Report
 	rows     map[rowKey]*Totals
-	others   map[string]Report
-	routes   map[string]*routeTotals
-	sentOld  int
-	sentNew  int
-	crashOld map[string]bool
-	crashNew map[string]bool
 	outliers []string
 	unsent   bool
+	// others has the last report of each other instance.
+	others map[string]Report
+	// The rest is the fleet's.
+	routes             map[string]*routeTotals
+	sentOld, sentNew   int
+	crashOld, crashNew map[string]bool
 }
 
 func newLedger(own Report) *ledger {
--- a/internal/rollout/order.go
+++ b/internal/rollout/order.go
@@ -43,7 +43,7 @@
 	// Slack is the number of requests on top of Share.
 	Slack int
 	// RollBackTime is the time after the 50th bad answer beyond which no request may
-	// be sent to a bad version.
+	// be sent to a bad version. The package does not read it: its periods are constants.
 	RollBackTime time.Duration
 }
 
--- a/internal/rollout/registry.go
+++ b/internal/rollout/registry.go
@@ -89,13 +89,12 @@
 			se.rollout.inUse = ve != nil && ve.known && !ve.withdrawn
 		}
 		se.removed = nil
-		re.Log.Debug().Str("event", "rollout_order").Str("service", or.Service).Str("target", or.Target).Stringer("state", or.State).Msg("rollout: new order")
 	}
 	if ve := se.versions[or.Target]; ve != nil {
 		ve.withdrawn = false
 	}
 	se.ranked = nil
-	se.rollout.put(or, now, re.Log)
+	se.rollout.put(or, now)
 }
 
 // removeOrder forgets an order that is not in the list any more. Unless it was
@@ -237,7 +236,7 @@
 	}
 }
 
-// count counts a rare event.
+// count increments a counter, if there is a Scope.
 func (re *Registry) count(name string) {
 	if re.Scope != nil {
 		re.Scope.Counter(name).Inc(1)
--- a/internal/rollout/report.go
+++ b/internal/rollout/report.go
@@ -11,8 +11,8 @@
 	Boot, Sequence uint64
 	// Age is a lower bound of the order's age when the report was made.
 	Age time.Duration
-	// Verdict is RolledBack once an evaluator has found the target bad; it stops the
-	// target everywhere. Else it is Pending.
+	// Verdict is RolledBack once an evaluator has found the target bad: each instance
+	// that receives it stops using the target. Else it is Pending.
 	Verdict State
 	// Evaluator is set in the reports of an instance that evaluates the service. Share
 	// is the share of the requests that it lets go to the target.
@@ -85,10 +85,10 @@
 	}
 }
 
-// measured is the number of answers in the histogram, slow the number of those from a
-// bucket on.
+// measured returns the number of answers in the histogram.
 func (to *Totals) measured() int { return to.slow(0) }
 
+// slow returns the number of answers from a bucket on.
 func (to *Totals) slow(from int) int {
 	count := 0
 	for ix := max(from, 0); ix < LatencyBuckets; ix++ {
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -19,22 +19,23 @@
 	// bad is set once an evaluator has found the target bad, and reason says why.
 	bad    bool
 	reason string
-	// halted is set once this instance has found the target bad itself. It sends it
-	// nothing more, and leaves the verdict to the evaluator.
+	// halted is set once this instance's own judge has found the target bad. The instance
+	// then sends the target no more requests, and leaves the verdict to the evaluator.
 	halted bool
 	ledger *ledger
 	judge  judge
-	// shares are what evaluators have told; more than one may evaluate for a while.
+	// shares has what each evaluator has reported, by its instance. Each zone has one
+	// evaluator, or more while instances disagree about which one it is.
 	shares map[string]toldShare
-	// pending is the number of runs at old endpoints.
+	// pending is the number of runs and requests at old endpoints, in the fleet.
 	pending int
 	// offered is the last transition that Next has returned, offeredAt when.
 	offered   Transition
 	offeredAt time.Time
 }
 
-// toldShare is the share that an evaluator has told, and when, with the endpoints of the
-// target that it has found worse than the others.
+// toldShare is the share that an evaluator has reported, when the report arrived, and the
+// endpoints of the target that it names as outliers.
 type toldShare struct {
 	share    float64
 	at       time.Time
@@ -62,18 +63,17 @@
 
 // put takes in what the store has of the order. A final state of the store always
 // counts; one that is behind what was known is that of an older copy.
-func (ro *rollout) put(or Order, now time.Time, log zerolog.Logger) {
+func (ro *rollout) put(or Order, now time.Time) {
 	ro.learnAge(or.Age, now)
 	ro.order = or
 	if or.State == ro.state || !or.State.Final() && or.State < ro.state {
 		return
 	}
-	log.Debug().Str("event", "rollout_state").Str("service", or.Service).Str("target", or.Target).Stringer("from", ro.state).Stringer("to", or.State).Msg("rollout: state has changed")
 	ro.state, ro.stateAt = or.State, now
 }
 
-// merge takes in the report of another instance. It reports whether the target must not
-// be used any more since.
+// merge takes in the report of another instance. It reports whether the report is the
+// first from which this instance learns that the target is bad.
 func (ro *rollout) merge(instance string, rep Report, now time.Time, log zerolog.Logger) bool {
 	ro.learnAge(rep.Age, now)
 	if !ro.ledger.merge(instance, rep) {
@@ -83,22 +83,24 @@
 		ro.shares[instance] = toldShare{share: rep.Share, at: now, outliers: outliersOf(rep)}
 	}
 	if rep.Verdict == RolledBack && !ro.bad && ro.state != Completed {
-		ro.condemn("told by "+instance, log)
+		ro.markBad("told by "+instance, log)
 		return true
 	}
 	return false
 }
 
-// condemn records that the target is bad.
-func (ro *rollout) condemn(reason string, log zerolog.Logger) {
+// markBad records an evaluator's verdict that the target is bad. The next report tells it
+// to the other instances.
+func (ro *rollout) markBad(reason string, log zerolog.Logger) {
 	ro.bad, ro.reason = true, reason
 	ro.ledger.own.Verdict = RolledBack
 	ro.ledger.unsent = true
-	log.Warn().Str("event", "rollout_verdict").Str("service", ro.order.Service).Str("target", ro.order.Target).Str("reason", reason).
+	log.Warn().Str("event", "rollout_bad").Str("service", ro.order.Service).Str("target", ro.order.Target).Str("reason", reason).
 		Int("sent_old", ro.ledger.sentOld).Int("sent_new", ro.ledger.sentNew).Msg("rollout: the version is bad; not using it")
 }
 
-// currentShare is the share of the requests that goes to the target.
+// currentShare is the share of the requests that goes to the target: during the canary
+// the lowest one that an evaluator has reported lately, while promoting one that rises.
 func (ro *rollout) currentShare(bo Bounds, now time.Time) float64 {
 	if ro.state == Promoting {
 		if ro.age(now) >= ro.order.Budget-ro.margin()-lastTime {
--- a/internal/rollout/stage.go
+++ b/internal/rollout/stage.go
@@ -9,9 +9,9 @@
 const (
 	// repeatAfter is the time after which Next returns the same transition again.
 	repeatAfter = 300 * time.Millisecond
-	// rampTime is the time in which the share rises from firstStep to lastStep once the
-	// target was found good. The rest goes to the old version, for comparison, until
-	// lastTime before the end.
+	// rampTime is the time in which the share rises linearly from firstStep to lastStep
+	// once the target is promoted. The rest goes to the old version, for comparison, until
+	// lastTime before the last status is due (margin); then the share is 1.
 	rampTime  = 1200 * time.Millisecond
 	firstStep = 0.25
 	lastStep  = 0.85
@@ -21,10 +21,11 @@
 	promoteTime    = 1500 * time.Millisecond
 	moveTime       = 10 * time.Millisecond
 	maxPromotePart = 0.35
-	// watchTime is the least time between the promotion and the end, in which the old
-	// endpoints can still take the requests back.
+	// watchTime is the least time between promotion and completion, in which requests can
+	// still go back to the old endpoints. The end of the budget cuts it short.
 	watchTime = 2 * time.Second
-	// doubtTime is how long the decision waits while there is some evidence.
+	// doubtTime is how long the decision waits while there is some evidence against the
+	// target (judge.doubt).
 	doubtTime = time.Second
 	// leastAnswers is the number of the target's answers without which it is promoted
 	// only if the bound holds even if it is bad.
@@ -72,33 +73,49 @@
 	return *next, true
 }
 
-// evaluate enters new answers into the judge and acts on its verdict: this instance
-// stops at once, the evaluator stops all.
+// evaluate enters new answers into the judge, acts on its verdict, and sets what this
+// instance reports.
 func (re *Registry) evaluate(se *service, evaluates bool, pending int, now time.Time) {
 	ro := se.rollout
 	ro.pending = pending
-	ro.judge.step(ro.ledger, now, ro.state == Promoting)
 	le := ro.ledger
+	ro.judge.step(le, now, ro.state == Promoting)
 	if le.own.Evaluator != evaluates {
 		le.own.Evaluator, le.unsent = evaluates, true
 	}
 	running, others := se.running(ro.order.Target)
-	ro.judge.stepCrashes(ro.ledger, now, others, running)
+	ro.judge.stepCrashes(le, now, others, running)
 	reason, bad := ro.judge.verdict(running > 1)
-	if !bad && ro.lastChance(ro.age(now)) {
+	if !bad && ro.mustDecide(ro.age(now)) {
 		reason, bad = ro.judge.doubt(running > 1)
 	}
 	if bad && !ro.bad && ro.state != Pending {
-		if !ro.halted {
-			ro.halted = true
-			re.count("rollout_halts")
-			re.Log.Info().Str("event", "rollout_halted").Str("service", se.name).Str("target", ro.order.Target).Str("reason", reason).Msg("rollout: this instance sends the version no more requests")
-		}
-		if evaluates {
-			ro.condemn(reason, re.Log)
-			re.count("rollout_verdicts")
-		}
+		re.stop(se, evaluates, reason)
+	}
+	re.setOwnShare(ro, evaluates, running, now)
+}
+
+// stop stops the use of a target that was found bad: by this instance or, if it is an
+// evaluator, by all.
+func (re *Registry) stop(se *service, evaluates bool, reason string) {
+	ro := se.rollout
+	if !ro.halted {
+		ro.halted = true
+		re.count("rollout_halts")
+		re.Log.Info().Str("event", "rollout_halted").Str("service", se.name).Str("target", ro.order.Target).Str("reason", reason).Msg("rollout: this instance sends the version no more requests")
+	}
+	if evaluates {
+		ro.markBad(reason, re.Log)
+		re.count("rollout_verdicts")
 	}
+}
+
+// setOwnShare sets the share and the outliers that this instance reports as an evaluator.
+// If it is not one, or if the target is bad, it names no outliers, and the share in its
+// report is the last one and counts for nothing. running is the number of endpoints of the
+// target.
+func (re *Registry) setOwnShare(ro *rollout, evaluates bool, running int, now time.Time) {
+	le := ro.ledger
 	if !evaluates || ro.bad {
 		delete(ro.shares, re.Instance)
 		le.setOutliers(nil)
@@ -112,13 +129,13 @@
 	ro.shares[re.Instance] = toldShare{share: le.own.Share, at: now}
 }
 
-// lastChance reports whether the target would be promoted or completed now. Evidence
-// that has only delayed the decision then decides.
-func (ro *rollout) lastChance(age time.Duration) bool {
+// mustDecide reports whether the target would be promoted or completed now. Evidence that
+// delayed the decision until now (judge.doubt) then counts as a verdict.
+func (ro *rollout) mustDecide(age time.Duration) bool {
 	return ro.state == Canary && age >= ro.decision()+doubtTime || ro.state == Promoting && age >= ro.order.Budget-ro.margin()
 }
 
-// margin is the time before the end of the budget by which the last status is written.
+// margin is how long before the end of the budget the last status is due.
 func (ro *rollout) margin() time.Duration {
 	return min(max(time.Duration(float64(ro.order.Budget)*marginPart), leastMargin), mostMargin)
 }
--- a/internal/rollout/state.go
+++ b/internal/rollout/state.go
@@ -8,8 +8,8 @@
 	Pending State = iota
 	// Canary is the state in which a share of the requests goes to the target.
 	Canary
-	// Promoting follows when the target was found good: all requests go to it and the
-	// runs at old endpoints are moved.
+	// Promoting follows when the target was not found bad: a rising share of the requests,
+	// at last all, goes to it and the runs at old endpoints are moved.
 	Promoting
 	// Completed is the end of a good version: the old endpoints stop at once.
 	Completed
--- a/internal/rollout/view.go
+++ b/internal/rollout/view.go
@@ -34,10 +34,10 @@
 	// target.
 	moving, leaving bool
 	// picks is the number of endpoints of the target that get requests, those of the
-	// lowest rank; 0 stands for all.
+	// lowest rank, by ID; 0 stands for all.
 	picks int
 	rank  map[string]int
-	// usable has the versions that may be used, without the target. retired has those
+	// usable has the versions other than the target that may be used. retired has those
 	// that a completed order has replaced.
 	usable, retired map[string]bool
 }
@@ -66,7 +66,7 @@
 		return ready
 	}
 	ru := re.views.Load().rule(service)
-	if ru.accepts(ready) {
+	if ru.acceptsAll(ready) {
 		return ready
 	}
 	var olds, news []roster.Endpoint
@@ -89,8 +89,8 @@
 	return olds
 }
 
-// accepts reports whether nothing has to be left out.
-func (ru *rule) accepts(ready []roster.Endpoint) bool {
+// acceptsAll reports whether no ready endpoint has to be left out.
+func (ru *rule) acceptsAll(ready []roster.Endpoint) bool {
 	if ru.mode != plain && ru.mode != targetOnly {
 		return false
 	}
@@ -115,8 +115,8 @@
 	return float64(xxhash.Sum64String(service+"/"+target+"/"+request)>>11) / (1 << 53)
 }
 
-// pick returns the endpoints of the target that get requests. If none of these is
-// ready, it returns the next one.
+// pick returns the endpoints of the target that get requests: of those that are ready,
+// the first ones by rank.
 func (ru *rule) pick(news []roster.Endpoint) []roster.Endpoint {
 	if ru.picks <= 0 || len(news) <= ru.picks {
 		return news
@@ -145,7 +145,7 @@
 }
 
 // Leaves reports whether the runs at an endpoint should move to endpoints that Allows
-// accepts: off old endpoints while an order is promoted, off the target once it is
+// acceptsAll: off old endpoints while an order is promoted, off the target once it is
 // rolled back.
 func (re *Registry) Leaves(en roster.Endpoint) bool {
 	if re.Bounds.Share <= 0 {
