loadshare: one reader of numbers of eight bytes

Cause: reader.fixed, added with the grants in load messages, was a copy of fixed64. Behaviour unchanged; vet and the package's tests passed.

--- a/internal/loadshare/message.go
+++ b/internal/loadshare/message.go
@@ -104,7 +104,7 @@
 	}
 	if len(re.data) > 0 {
 		for range re.listLength() {
-			me.Settled = append(me.Settled, re.fixed())
+			me.Settled = append(me.Settled, re.fixed64())
 		}
 	}
 	if re.malformed || len(re.data) > 0 || me.Instance == "" {
@@ -130,18 +130,6 @@
 	return number
 }
 
-// fixed reads a number of eight bytes.
-func (re *reader) fixed() uint64 {
-	const size = 8
-	if len(re.data) < size {
-		re.malformed, re.data = true, nil
-		return 0
-	}
-	number := binary.BigEndian.Uint64(re.data)
-	re.data = re.data[size:]
-	return number
-}
-
 // count reads a count. Values above maxCount make the datagram malformed.
 func (re *reader) count() int {
 	number := re.uvarint()
