--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -39,8 +39,20 @@
 	tokens string
 }
 
+// newChannel returns a channel, which is opened by the first request and kept open.
+func newChannel() *http.Transport {
+	return &http.Transport{DisableCompression: true, MaxConnsPerHost: 1, DialContext: (&net.Dialer{Timeout: time.Second}).DialContext}
+}
+
 // send sends one client attempt on a channel of its own, and reads the whole answer.
 func send(ctx context.Context, re *record, gw *gateway, ca call) attempt {
+	ch := newChannel()
+	defer ch.CloseIdleConnections()
+	return sendOn(ctx, re, ch, gw, ca)
+}
+
+// sendOn sends one client attempt on a channel, and reads the whole answer.
+func sendOn(ctx context.Context, re *record, ch *http.Transport, gw *gateway, ca call) attempt {
 	id := fmt.Sprintf("%08x%08x", uint32(time.Now().UnixNano()>>10), uint32(lastID.Add(1))*2654435761)
 	at := attempt{id: id, path: ca.path, gateway: gw.name}
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+gw.front+ca.path, strings.NewReader(ca.body))
@@ -60,10 +72,8 @@
 		req.Header.Set("Token-Usage", ca.tokens)
 		req.Header.Set("Prompt-Prefix", "5c1e07a2:800,"+id+":600")
 	}
-	tr := &http.Transport{DisableKeepAlives: false, DisableCompression: true, DialContext: (&net.Dialer{Timeout: time.Second}).DialContext}
-	defer tr.CloseIdleConnections()
 	at.sent = time.Now()
-	resp, err := (&http.Client{Transport: tr}).Do(req)
+	resp, err := (&http.Client{Transport: ch}).Do(req)
 	if err != nil {
 		at.err, at.ended = err, time.Now()
 		re.logf("client: %s to %s%s, sent at %s: no answer: %v", id, gw.name, ca.path, re.at(at.sent), err)
--- a/review/standin/endless.go
+++ b/review/standin/endless.go
@@ -153,7 +153,10 @@
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			streams <- send(context.Background(), sg.record, gw, call{path: "/guide/7", key: "key0", deadline: 39 * time.Second, body: "prompt", tokens: "1400,1000"})
+			ch := newChannel()
+			defer ch.CloseIdleConnections()
+			sendOn(context.Background(), sg.record, ch, gw, book)
+			streams <- sendOn(context.Background(), sg.record, ch, gw, call{path: "/guide/7", key: "key0", deadline: 39 * time.Second, body: "prompt", tokens: "1400,1000"})
 		}()
 	}
 	time.Sleep(time.Second)
