--- a/review/standin/gateway.go
+++ b/review/standin/gateway.go
@@ -10,6 +10,7 @@
 	"path/filepath"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -26,6 +27,9 @@
 	ready    string
 	log      *os.File
 
+	// aside is set while the platform sends it no new channels.
+	aside atomic.Bool
+
 	mu   sync.Mutex
 	cmd  *exec.Cmd
 	done chan struct{}
@@ -176,3 +180,6 @@
 	}
 	return fmt.Errorf("%s: not ready after %s", gw.name, timeout)
 }
+
+// takesCallers reports whether the platform sends new channels to it.
+func (gw *gateway) takesCallers() bool { return !gw.aside.Load() }
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -141,10 +141,19 @@
 		return nil, err
 	}
 	sg.logf("replica %s of %s in zone %s at %s", rp.id, rp.service, rp.zone, rp.address())
-	sg.st.put("servers", rp.id, rp.entry(0))
+	sg.putReplica(rp)
 	return rp, nil
 }
 
+// putReplica writes a replica's entry.
+func (sg *stage) putReplica(rp *replica) {
+	entry := rp.entry(0)
+	if rp.slots > 0 {
+		entry["slots"] = rp.slots
+	}
+	sg.st.put("servers", rp.id, entry)
+}
+
 // addGateway starts a gateway.
 func (sg *stage) addGateway(zone string) (*gateway, error) {
 	gw, err := newGateway(sg.record, sg.root, sg.temp, len(sg.gateways)+1, zone, sg.st.address())
--- a/review/standin/replica.go
+++ b/review/standin/replica.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -99,8 +100,23 @@
 	// turnAway is called before a request runs; if it returns a time, the answer is 503
 	// with Not-Executed and Retry-After.
 	turnAway func() (time.Duration, bool)
-	// limit is the Server-Limit, zero for none.
+	// limit is the Server-Limit, empty for none.
 	limit string
+	// slots is the number of requests that it runs at once, zero for no bound, and queue
+	// that of requests that it lets wait.
+	slots, queue int
+	// brittle is what it says in Server-Brittle from brittleFrom on. From contactTime later,
+	// it lets none wait, and falls over if it has to turn more than brittle requests away in
+	// a second. It is back after fallTime.
+	brittle     int
+	brittleFrom time.Time
+	fallTime    time.Duration
+	// onFall is called when it falls over, onBack when it is back.
+	onFall, onBack func()
+	turned         []time.Time
+	waiting        int
+	// fallen is closed when it falls over.
+	fallen chan struct{}
 	// copyTime is how long a kv-move takes.
 	copyTime time.Duration
 	arrivals []time.Time
@@ -117,7 +133,7 @@
 	if err != nil {
 		return err
 	}
-	rp.ln, rp.state, rp.active = ln, "ready", make(map[string]*active)
+	rp.ln, rp.state, rp.active, rp.fallen = ln, "ready", make(map[string]*active), make(chan struct{})
 	if rp.born == 0 {
 		rp.born = time.Now().UnixMilli()
 	}
@@ -160,6 +176,9 @@
 	if limit != "" {
 		w.Header().Set("Server-Limit", limit)
 	}
+	if rp.isBrittle() {
+		w.Header().Set("Server-Brittle", strconv.Itoa(rp.brittle))
+	}
 	if expect := r.Header.Get("Expect-Replica"); expect != "" && expect != rp.id {
 		w.Header().Set("Replica-Id", rp.id)
 		w.Header().Set("Not-Executed", "1")
@@ -294,6 +313,15 @@
 			return
 		}
 	}
+	switch rp.takePlace(r.Context(), id) {
+	case turnedAway:
+		w.Header().Set("Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	case leftQueue:
+		return
+	case placeTaken:
+	}
 	if from != "" && !rp.takeCopy(from, id) {
 		rp.re.logf("replica %s: no copy %s for %s, 503", rp.id, from, id)
 		w.Header().Set("Not-Executed", "1")
@@ -321,6 +349,107 @@
 	rp.re.logf("replica %s: its run of %s ends after event %d: %s", rp.id, id, ru.events, ru.how)
 }
 
+// contactTime is contact_ms.
+const contactTime = 3 * time.Second
+
+// isBrittle reports whether it says that it is brittle.
+func (rp *replica) isBrittle() bool { return rp.brittle > 0 && time.Now().After(rp.brittleFrom) }
+
+// place is what becomes of a request that arrives.
+type place int
+
+const (
+	placeTaken place = iota
+	turnedAway
+	leftQueue
+)
+
+// takePlace takes a place for a request, after it has waited in the queue if need be. If
+// there is no room, the request is turned away, and a brittle replica may fall over.
+func (rp *replica) takePlace(ctx context.Context, id string) place {
+	rp.mu.Lock()
+	defer rp.mu.Unlock()
+	if rp.slots == 0 {
+		return placeTaken
+	}
+	fallen := rp.fallen
+	for first := true; len(rp.active) >= rp.slots; first = false {
+		if first {
+			queue := rp.queue
+			if rp.isBrittle() && time.Since(rp.brittleFrom) > contactTime {
+				queue = 0
+			}
+			if rp.waiting >= queue {
+				rp.turnAwayFull(id)
+				return turnedAway
+			}
+			rp.waiting++
+			defer func() { rp.waiting-- }()
+		}
+		rp.mu.Unlock()
+		select {
+		case <-ctx.Done():
+		case <-fallen:
+		case <-time.After(5 * time.Millisecond):
+		}
+		rp.mu.Lock()
+		if ctx.Err() != nil || fallen != rp.fallen {
+			return leftQueue
+		}
+	}
+	rp.active[id] = &active{run: &run{id: id}, stop: make(chan struct{})}
+	return placeTaken
+}
+
+// turnAwayFull counts a request that is turned away for want of room. The caller holds mu.
+func (rp *replica) turnAwayFull(id string) {
+	now := time.Now()
+	rp.turned = append(rp.turned, now)
+	for len(rp.turned) > 0 && now.Sub(rp.turned[0]) > time.Second {
+		rp.turned = rp.turned[1:]
+	}
+	rp.re.logf("replica %s: turns %s away, all %d slots are in use and %d wait (%d turned away within a second)", rp.id, id, rp.slots, rp.waiting, len(rp.turned))
+	if rp.isBrittle() && time.Since(rp.brittleFrom) > contactTime && len(rp.turned) > rp.brittle {
+		rp.turned = nil
+		go rp.fall()
+	}
+}
+
+// fall ends the replica's process. It is back after fallTime.
+func (rp *replica) fall() {
+	rp.mu.Lock()
+	select {
+	case <-rp.fallen:
+		rp.mu.Unlock()
+		return
+	default:
+	}
+	close(rp.fallen)
+	address, running := rp.ln.Addr().String(), len(rp.active)
+	rp.mu.Unlock()
+	rp.re.logf("replica %s: FALLS OVER, with %d requests", rp.id, running)
+	_ = rp.sv.Close()
+	if rp.onFall != nil {
+		rp.onFall()
+	}
+	time.Sleep(rp.fallTime)
+	rp.mu.Lock()
+	rp.born = 0
+	if rp.brittle > 0 {
+		// It says so anew.
+		rp.brittleFrom = time.Now()
+	}
+	rp.mu.Unlock()
+	if err := rp.start(address); err != nil {
+		rp.re.logf("replica %s: does not start again: %v", rp.id, err)
+		return
+	}
+	rp.re.logf("replica %s: is back", rp.id)
+	if rp.onBack != nil {
+		rp.onBack()
+	}
+}
+
 // answer runs a plain request.
 func (rp *replica) answer(w http.ResponseWriter, r *http.Request, ru *run) {
 	select {
@@ -342,7 +471,7 @@
 	stop := make(chan struct{})
 	rp.mu.Lock()
 	rp.active[ru.id] = &active{run: ru, stop: stop}
-	breakAt := rp.breakAt
+	breakAt, fallen := rp.breakAt, rp.fallen
 	rp.mu.Unlock()
 	defer func() {
 		rp.mu.Lock()
@@ -373,6 +502,9 @@
 	if leaving != "" {
 		head += "Server-Leaving: 1\r\n"
 	}
+	if rp.isBrittle() {
+		head += "Server-Brittle: " + strconv.Itoa(rp.brittle) + "\r\n"
+	}
 	if !rp.unframed {
 		head += "Transfer-Encoding: chunked\r\n"
 	}
@@ -400,6 +532,15 @@
 			closed = nil
 		case eventMade:
 		}
+		select {
+		case <-fallen:
+			ru.how = "the replica fell over"
+			if tc, isTCP := conn.(*net.TCPConn); isTCP {
+				_ = tc.SetLinger(0)
+			}
+			return
+		default:
+		}
 		if closed != nil && breakAt != nil && breakAt(ru.id, ix, ru.from) {
 			rp.re.logf("replica %s: the answer to %s is lost from event %d on (reset)", rp.id, ru.id, ix)
 			if tc, isTCP := conn.(*net.TCPConn); isTCP {
