--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -35,8 +35,9 @@
 	path, key string
 	deadline  time.Duration
 	body      string
-	// tokens is the Token-Usage of a generation.
-	tokens string
+	// tokens is the Token-Usage of a generation, part a part that its prompt has beside
+	// others.
+	tokens, part string
 }
 
 // newChannel returns a channel, which is opened by the first request and kept open.
@@ -70,7 +71,11 @@
 	if ca.tokens != "" {
 		req.Header.Set("Model", "m")
 		req.Header.Set("Token-Usage", ca.tokens)
-		req.Header.Set("Prompt-Prefix", "5c1e07a2:800,"+id+":600")
+		prefix := "5c1e07a2:200,"
+		if ca.part != "" {
+			prefix += ca.part + ":100,"
+		}
+		req.Header.Set("Prompt-Prefix", prefix+id+":100")
 	}
 	at.sent = time.Now()
 	resp, err := (&http.Client{Transport: ch}).Do(req)
--- a/review/standin/gateway.go
+++ b/review/standin/gateway.go
@@ -71,7 +71,7 @@
 	gw.settings = filepath.Join(dir, gw.name+".json")
 	gw.fields = map[string]any{
 		"node": gw.name, "role": "gateway", "machine_class": "edge", "serves": []string{"edge"}, "ip": ip, "zone": zone, "region": "r",
-		"zones":      map[string]string{"a": "r", "b": "r"},
+		"zones":      map[string]string{"a": "r", "b": "r", "c": "r"},
 		"listen":     map[string]string{"front": gw.front, "ready": gw.ready, "control": ip + ":" + strconv.Itoa(ports[2])},
 		"port_range": []int{ports[3], ports[4]}, "seeds": []string{}, "bootstrap": true, "counts_as_loss": false,
 		"limits":   map[string]any{"cpu_share": 0.4, "cores": 1, "memory_mb": 134, "max_fds": 4100, "link_mbps": 1000.0, "disk_mb": 0},
--- a/review/standin/replica.go
+++ b/review/standin/replica.go
@@ -81,6 +81,8 @@
 	events int
 	// unframed streams have neither a length nor chunks and end with their channel.
 	unframed bool
+	// crashesOn is a part of a prompt on which it crashes when it begins to write an answer.
+	crashesOn string
 	// keepsRunning is set if the replica goes on with a request whose channel was closed.
 	keepsRunning bool
 
@@ -518,6 +520,9 @@
 	_, _ = rw.WriteString(head + "\r\n")
 	_ = rw.Flush()
 	var closed <-chan struct{} = gone
+	if rp.crashesOn != "" && strings.Contains(r.Header.Get("Prompt-Prefix"), rp.crashesOn+":") {
+		go rp.fall()
+	}
 	for ix := ru.last + 1; ix <= rp.events; ix++ {
 		switch rp.makeEvent(stop, closed) {
 		case runStopped:
