process: catch signals until the process exits

Callers saw every request in flight end without an answer when an instance that was stopping (SIGTERM) was told of changed settings (SIGHUP).

Cause: watchSettings got the context that SIGTERM cancels and gave SIGHUP its default action back when it returned, at the beginning of the shutdown. serve and the stand-ins never caught SIGHUP.

Change: internal/process catches signals from a program's first step until it exits. A reload before the instance is built is tried again instead of dropped.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -12,6 +12,7 @@
 
 	"github.com/jessevdk/go-flags"
 
+	"filbertstall.example/filbertstall/internal/process"
 	"filbertstall.example/filbertstall/internal/standin"
 )
 
@@ -28,6 +29,7 @@
 }
 
 func (li listenFlags) serve(ha standin.Handler) error {
+	process.IgnoreHangups()
 	ln, err := net.Listen("tcp", li.Listen)
 	if err != nil {
 		return err
--- a/internal/bench/cost.go
+++ b/internal/bench/cost.go
@@ -11,15 +11,14 @@
 	"net"
 	"net/http"
 	"os"
-	"os/signal"
 	"strconv"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 
 	"filbertstall.example/filbertstall/internal/endpoint"
 	"filbertstall.example/filbertstall/internal/fleet"
+	"filbertstall.example/filbertstall/internal/process"
 	"filbertstall.example/filbertstall/pkg/client"
 )
 
@@ -66,7 +65,7 @@
 
 // Execute implements flags.Commander.
 func (co *cost) Execute([]string) error {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	ctx, stop := process.UntilInterrupted()
 	defer stop()
 	dir, remove, err := co.folder()
 	if err != nil {
--- a/internal/bench/demo.go
+++ b/internal/bench/demo.go
@@ -16,10 +16,9 @@
 	"io"
 	"net/http"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"filbertstall.example/filbertstall/internal/fleet"
+	"filbertstall.example/filbertstall/internal/process"
 	"filbertstall.example/filbertstall/internal/scenario"
 	"filbertstall.example/filbertstall/pkg/client"
 )
@@ -62,7 +61,7 @@
 
 // Execute implements flags.Commander.
 func (up *up) Execute([]string) error {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	ctx, stop := process.UntilInterrupted()
 	defer stop()
 	fl, remove, err := up.start(ctx)
 	defer remove()
@@ -81,7 +80,7 @@
 
 // Execute implements flags.Commander.
 func (de *demo) Execute([]string) error {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	ctx, stop := process.UntilInterrupted()
 	defer stop()
 	fl, remove, err := de.start(ctx)
 	defer remove()
--- a/internal/bench/smoke.go
+++ b/internal/bench/smoke.go
@@ -6,13 +6,12 @@
 	"errors"
 	"fmt"
 	"os"
-	"os/signal"
 	"slices"
 	"strings"
-	"syscall"
 	"time"
 
 	"filbertstall.example/filbertstall/internal/fleet"
+	"filbertstall.example/filbertstall/internal/process"
 	"filbertstall.example/filbertstall/internal/scenario"
 )
 
@@ -33,7 +32,7 @@
 
 // Execute implements flags.Commander.
 func (sm *smoke) Execute([]string) error {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	ctx, stop := process.UntilInterrupted()
 	defer stop()
 	dir, remove, err := sm.folder()
 	if err != nil {
@@ -82,7 +81,7 @@
 
 // Execute implements flags.Commander.
 func (so *soak) Execute([]string) error {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	ctx, stop := process.UntilInterrupted()
 	defer stop()
 	dir, remove, err := so.folder()
 	if err != nil {
--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -1,10 +1,7 @@
 package command
 
 import (
-	"context"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -14,6 +11,7 @@
 	"filbertstall.example/filbertstall/internal/backpressure"
 	"filbertstall.example/filbertstall/internal/boottime"
 	gw "filbertstall.example/filbertstall/internal/gateway"
+	"filbertstall.example/filbertstall/internal/process"
 	"filbertstall.example/filbertstall/platform"
 )
 
@@ -35,21 +33,22 @@
 // Execute implements flags.Commander. It logs to standard output without ever
 // blocking on it. Lines that do not fit into the buffer are dropped and counted.
 func (ga *gateway) Execute([]string) error {
+	stop, reloads := process.Listen()
 	path := ga.Settings
 	if path == "" {
 		path = os.Getenv(platform.SettingsVariable)
 	}
+	modified := modTime(path)
 	settings, err := platform.LoadSettings(path)
 	if err != nil {
 		return commandError{err}
 	}
 	log, closeLog := newLog(ga.output, settings.Instance)
 	defer closeLog()
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
+	clock := clockwork.NewRealClock()
 	store := platform.NewStore(settings.Store)
 	in := &gw.Gateway{
-		Settings: settings, Clock: clockwork.NewRealClock(), Boot: boottime.System{}, Log: log,
+		Settings: settings, Clock: clock, Boot: boottime.System{}, Log: log,
 		Adapter: gw.Adapter{
 			Endpoints: platform.Endpoints(store), Configurations: platform.Configurations(store), Evacuations: platform.Evacuations(store),
 			Members: platform.Members(store), Registry: store, Rollouts: platform.Rollouts(store), StatusWriter: store,
@@ -57,57 +56,15 @@
 			Engines: func(ga *backpressure.Gate) gw.Engines { return platform.Engines{Gate: ga} },
 		},
 	}
-	go watchSettings(ctx, path, in, log)
-	if err := in.Run(ctx); err != nil {
+	watch := &settingsWatch{path: path, modified: modified, reloads: reloads, apply: in.Reload, clock: clock, log: log}
+	go watch.run()
+	if err := in.Run(stop); err != nil {
 		log.Error().Str("event", "failed").Err(err).Msg("gateway: instance failed; exiting")
 		return commandError{err}
 	}
 	return nil
 }
 
-// settingsPollInterval is the interval at which the modification time of the
-// settings file is checked. The file may change without a signal.
-const settingsPollInterval = 2 * time.Second
-
-// watchSettings reloads the settings on SIGHUP and when their file changes. If the
-// file cannot be loaded, the current settings stay in force.
-func watchSettings(ctx context.Context, path string, in *gw.Gateway, log zerolog.Logger) {
-	reloads := make(chan os.Signal, 1)
-	signal.Notify(reloads, syscall.SIGHUP)
-	defer signal.Stop(reloads)
-	ti := time.NewTicker(settingsPollInterval)
-	defer ti.Stop()
-	lastModified := modTime(path)
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-reloads:
-		case <-ti.C:
-			if now := modTime(path); now.Equal(lastModified) {
-				continue
-			}
-		}
-		lastModified = modTime(path)
-		settings, err := platform.LoadSettings(path)
-		if err != nil {
-			log.Error().Str("event", "reload_failed").Err(err).Msg("gateway: settings file cannot be loaded; keeping the current settings")
-			continue
-		}
-		in.Reload(settings)
-	}
-}
-
-// modTime returns the modification time of a file, or the zero time if it cannot be
-// read.
-func modTime(path string) time.Time {
-	info, err := os.Stat(path) //nolint:gosec // the operator names the file
-	if err != nil {
-		return time.Time{}
-	}
-	return info.ModTime()
-}
-
 // newLog returns a logger that never blocks, and a function that closes it.
 func newLog(ou output, instance string) (zerolog.Logger, func()) {
 	var log zerolog.Logger
--- a/internal/command/serve.go
+++ b/internal/command/serve.go
@@ -1,15 +1,14 @@
 package command
 
 import (
-	"context"
 	"encoding/json"
-	"os/signal"
-	"syscall"
+	"os"
 
 	"github.com/jonboulle/clockwork"
 	"github.com/rs/zerolog"
 
 	"filbertstall.example/filbertstall/internal/daemon"
+	"filbertstall.example/filbertstall/internal/process"
 	"filbertstall.example/filbertstall/internal/setting"
 )
 
@@ -20,8 +19,10 @@
 }
 
 // Execute implements flags.Commander. It prints a daemon.Report as one JSON line to
-// standard output when the instance listens, and logs to standard error.
+// standard output when the instance listens, and logs to standard error. SIGHUP has no
+// effect in any state of the instance.
 func (se *serve) Execute([]string) error {
+	stop, reloads := process.Listen()
 	settings, err := setting.Load(se.Settings)
 	if err != nil {
 		return commandError{err}
@@ -31,14 +32,21 @@
 		return commandError{err}
 	}
 	log := zerolog.New(se.err).Level(level).With().Timestamp().Str("instance", settings.Name).Logger()
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
+	go logReloads(reloads, log)
 	da := &daemon.Daemon{
 		Settings: settings, Log: log, Clock: clockwork.NewRealClock(),
 		Ready: func(re daemon.Report) { _ = json.NewEncoder(se.out).Encode(re) },
 	}
-	if err := da.Run(ctx); err != nil {
+	if err := da.Run(stop); err != nil {
 		return commandError{err}
 	}
 	return nil
 }
+
+// logReloads answers each request for a reload with a log line. An instance reads its
+// settings file only at the start; certificates are reloaded when their files change.
+func logReloads(reloads <-chan os.Signal, log zerolog.Logger) {
+	for range reloads {
+		log.Info().Msg("serve: SIGHUP has no effect; the settings file is read at the start, certificates when their files change")
+	}
+}
--- a/internal/command/status.go
+++ b/internal/command/status.go
@@ -1,16 +1,14 @@
 package command
 
 import (
-	"context"
 	"fmt"
 	"net/http"
 	"net/url"
-	"os/signal"
 	"strings"
-	"syscall"
 	"time"
 
 	"filbertstall.example/filbertstall/internal/control"
+	"filbertstall.example/filbertstall/internal/process"
 )
 
 // watchInterval is the interval at which status --watch prints.
@@ -25,7 +23,7 @@
 
 // Execute implements flags.Commander.
 func (st *status) Execute([]string) error {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	ctx, stop := process.UntilInterrupted()
 	defer stop()
 	for {
 		var fs control.FleetStatus
--- a/internal/gateway/bound_test.go
+++ b/internal/gateway/bound_test.go
@@ -40,13 +40,13 @@
 	g := NewWithT(t)
 	var relocations []string
 	gw := &Gateway{Adapter: Adapter{Relocate: func(address string) { relocations = append(relocations, address) }}}
-	gw.Reload(Settings{Store: "ignored before the start"})
+	g.Expect(gw.Reload(Settings{Store: "ignored before the start"})).To(BeFalse())
 	g.Expect(relocations).To(BeEmpty())
 	first := Settings{Store: "a", KeyRevocationBound: 5 * time.Second}
 	gw.settings.Store(&first)
-	gw.Reload(first)
+	g.Expect(gw.Reload(first)).To(BeTrue())
 	g.Expect(relocations).To(BeEmpty())
-	gw.Reload(Settings{Store: "b", KeyRevocationBound: 3 * time.Second})
+	g.Expect(gw.Reload(Settings{Store: "b", KeyRevocationBound: 3 * time.Second})).To(BeTrue())
 	g.Expect(relocations).To(Equal([]string{"b"}))
 	g.Expect(gw.maxAges().Key).To(Equal(3*time.Second - confirmationMargin))
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -163,17 +163,21 @@
 
 // Reload applies a changed address of the store, KeyRevocationBound and
 // ConfigurationBound. All other settings keep their values until the next start.
-// A call before Run has no effect.
-func (gw *Gateway) Reload(se Settings) {
+// It returns false, and has no effect, before Run has built the instance.
+func (gw *Gateway) Reload(se Settings) bool {
 	old := gw.settings.Load()
-	if old == nil || *old == se {
-		return
+	if old == nil {
+		return false
+	}
+	if *old == se {
+		return true
 	}
 	gw.settings.Store(&se)
 	if se.Store != old.Store && gw.Adapter.Relocate != nil {
 		gw.Adapter.Relocate(se.Store)
 	}
 	gw.Log.Info().Str("event", "reloaded").Str("store", se.Store).Dur("key_bound", se.KeyRevocationBound).Bool("restart_needed", se.needsRestart(*old)).Msg("gateway: settings reloaded")
+	return true
 }
 
 // maxAges returns the maximum ages of the store's confirmations by the current
