process: a closed log pipe does not end an instance

An instance whose standard output had lost its reader ended at its next log line (SIGPIPE), with all requests in flight.

Change: Listen and IgnoreHangups ignore SIGPIPE, so the write fails instead.

--- a/internal/process/signals.go
+++ b/internal/process/signals.go
@@ -11,8 +11,10 @@
 // exits. The context is canceled on the first SIGTERM or SIGINT; later ones have no
 // effect. The channel receives SIGHUP, which asks for a reload of the settings, in
 // every state of the process. It holds one reload: further ones that come before the
-// first is received are merged with it.
+// first is received are merged with it. SIGPIPE is ignored: if the reader of the
+// standard output or standard error has closed it, a write fails, and the process goes on.
 func Listen() (stop context.Context, reloads <-chan os.Signal) {
+	signal.Ignore(syscall.SIGPIPE)
 	ctx, cancel := context.WithCancel(context.Background())
 	stops := make(chan os.Signal, 1)
 	signal.Notify(stops, syscall.SIGTERM, syscall.SIGINT)
@@ -32,6 +34,6 @@
 	return signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 }
 
-// IgnoreHangups makes SIGHUP have no effect on a process that has no settings to
-// reload.
-func IgnoreHangups() { signal.Ignore(syscall.SIGHUP) }
+// IgnoreHangups makes SIGHUP and SIGPIPE have no effect on a process that has no
+// settings to reload.
+func IgnoreHangups() { signal.Ignore(syscall.SIGHUP, syscall.SIGPIPE) }
