buffer: bound bodies by the memory of the machine

An endpoint that sent bodies without end made an instance take more memory than its machine has; it was killed, and callers of sound streams lost them.

Cause: bounds counted bytes that had arrived, not memory. Slices that grow by copying stand twice, the heap doubles before it is collected, and nothing related the bounds to memory_mb.

Change: one budget of a quarter of the memory for bodies and incomplete events, in chunks that are never copied, divided by a dynamic threshold; a memory limit for the Go runtime. Bodies of requests, answers that a slow caller reads and skipped answers have the same cause and are bounded, too.

--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"runtime/debug"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -43,6 +44,9 @@
 	if err != nil {
 		return commandError{err}
 	}
+	if limit := settings.HeapLimit(); limit > 0 {
+		debug.SetMemoryLimit(limit)
+	}
 	log, closeLog := newLog(ga.output, settings.Instance)
 	defer closeLog()
 	clock := clockwork.NewRealClock()
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"filbertstall.example/filbertstall/internal/backpressure"
+	"filbertstall.example/filbertstall/internal/buffer"
 	"filbertstall.example/filbertstall/internal/placement"
 	"filbertstall.example/filbertstall/internal/refusal"
 	"filbertstall.example/filbertstall/internal/reservation"
@@ -69,7 +70,7 @@
 	ticket  *placement.Ticket
 	// sentAt is when the request was sent.
 	sentAt  time.Time
-	body    []byte
+	body    *buffer.Buffer
 	refusal *refusal.Error
 }
 
@@ -173,7 +174,7 @@
 // one is marked as leaving.
 func (di *Dispatcher) handleNotRun(ta *task, en roster.Endpoint, ti *placement.Ticket, an *upstream.Answer, ve Verdict) result {
 	ti.End(placement.Refused)
-	_, _ = an.ReadAll(maxDiscardedBytes)
+	_ = an.Discard(maxDiscardedBytes)
 	an.Close()
 	ta.arrivals++
 	di.logFailedAttempt(ta, en, "not_run", nil)
@@ -204,7 +205,7 @@
 	di.recordAnswer(ta, en, sentAt, true)
 	di.logFailedAttempt(ta, en, "failed_there", nil)
 	ti.End(placement.Failed)
-	_, _ = an.ReadAll(maxDiscardedBytes)
+	_ = an.Discard(maxDiscardedBytes)
 	an.Close()
 	return result{step: retry}
 }
--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"errors"
-	"io"
-	"slices"
 
+	"filbertstall.example/filbertstall/internal/buffer"
 	"filbertstall.example/filbertstall/internal/placement"
 	"filbertstall.example/filbertstall/internal/roster"
 	"filbertstall.example/filbertstall/internal/upstream"
@@ -15,41 +13,13 @@
 // is buffered completely before its first byte goes to the caller.
 const maxAnswerBytes = 32 << 20
 
-const (
-	// maxBufferedBytes limits all answers that are buffered at the same time, so that
-	// endpoints that send without end can't take all memory.
-	maxBufferedBytes = 48 << 20
-	// An answer is read in pieces that double with it, between these sizes. Most answers
-	// fit into the first one.
-	minBufferStepBytes = 1 << 10
-	bufferStepBytes    = 32 << 10
-)
-
-// errNoBuffer means that the answers that are being buffered have reached
-// maxBufferedBytes.
-var errNoBuffer = errors.New("dispatch: the answers that are being buffered are too large together")
-
-// readAll reads the whole body of an answer.
-func (di *Dispatcher) readAll(an *upstream.Answer) ([]byte, error) {
-	var body []byte
-	defer func() { di.buffered.Add(-int64(len(body))) }()
-	for {
-		step := min(max(len(body), minBufferStepBytes), bufferStepBytes)
-		body = slices.Grow(body, step)
-		count, err := an.Read(body[len(body) : len(body)+step])
-		body = body[:len(body)+count]
-		total := di.buffered.Add(int64(count))
-		switch {
-		case errors.Is(err, io.EOF):
-			return body, nil
-		case err != nil:
-			return nil, err
-		case len(body) > maxAnswerBytes:
-			return nil, upstream.ErrTooLarge
-		case total > maxBufferedBytes:
-			return nil, errNoBuffer
-		}
+// readAll reads the whole body of an answer into memory of Dispatcher.Memory.
+func (di *Dispatcher) readAll(an *upstream.Answer) (*buffer.Buffer, error) {
+	body := buffer.New(di.Memory)
+	if err := body.Fill(an, maxAnswerBytes); err != nil {
+		return nil, err
 	}
+	return body, nil
 }
 
 // serveBuffered answers a request with a complete, buffered answer.
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"strconv"
-	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -12,6 +11,7 @@
 
 	"filbertstall.example/filbertstall/internal/backpressure"
 	"filbertstall.example/filbertstall/internal/budget"
+	"filbertstall.example/filbertstall/internal/buffer"
 	"filbertstall.example/filbertstall/internal/placement"
 	"filbertstall.example/filbertstall/internal/refusal"
 	"filbertstall.example/filbertstall/internal/roster"
@@ -55,12 +55,13 @@
 	// Reserver chooses engines for all instances of the zone. If it is nil, each
 	// instance chooses by the loads that it knows.
 	Reserver Reserver
+	// Memory limits the answers and events that are in memory. If it is nil, there is no
+	// common limit.
+	Memory *buffer.Budget
 	// Meter records metrics. If nil, none are recorded.
 	Meter *Meter
 
 	outputEstimator outputEstimator
-	// buffered is the number of bytes of answers that are being read.
-	buffered atomic.Int64
 	// crashProbes merges the probes of an endpoint that has lost several requests.
 	crashProbes singleflight.Group
 }
--- a/internal/dispatch/endless_test.go
+++ b/internal/dispatch/endless_test.go
@@ -12,6 +12,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"filbertstall.example/filbertstall/internal/buffer"
 	"filbertstall.example/filbertstall/internal/refusal"
 )
 
@@ -82,7 +83,11 @@
 	var sent atomic.Int64
 	script := endless(&sent, genuineHead+"\r\n", "x")
 	ha := newHarness(t, script, script, script, script)
-	const count = 12
+	const (
+		count            = 12
+		maxBufferedBytes = 48 << 20
+	)
+	ha.Memory = &buffer.Budget{Bytes: maxBufferedBytes}
 	var peak int64
 	var wg sync.WaitGroup
 	done := make(chan struct{})
@@ -94,7 +99,7 @@
 		close(done)
 	}()
 	for running := true; running; {
-		peak = max(peak, ha.buffered.Load())
+		peak = max(peak, ha.Memory.Used())
 		select {
 		case <-done:
 			running = false
@@ -102,6 +107,36 @@
 		}
 	}
 	g.Expect(peak).To(BeNumerically(">", maxBufferedBytes/2), "the bound was pressed")
-	g.Expect(peak).To(BeNumerically("<=", maxBufferedBytes+count*bufferStepBytes))
-	g.Expect(ha.buffered.Load()).To(BeZero())
+	g.Expect(peak).To(BeNumerically("<=", maxBufferedBytes))
+	g.Expect(ha.Memory.Used()).To(BeZero())
+}
+
+// Events without end at many streams together took 1 MB and more for each.
+func TestIncompleteEventsHaveACommonBound(t *testing.T) {
+	g := NewWithT(t)
+	var sent atomic.Int64
+	script := endless(&sent, genuineHead+"\r\n", "data: x")
+	ha := newHarness(t, script, script, script, script)
+	const maxBufferedBytes, count = 1 << 20, 8
+	ha.Memory = &buffer.Budget{Bytes: maxBufferedBytes}
+	var wg sync.WaitGroup
+	var refused atomic.Int64
+	for range count {
+		wg.Go(func() {
+			rp := ha.send("/stream/")
+			if rp.Events == nil {
+				return
+			}
+			defer func() { _ = rp.Events.Close() }()
+			data, err := io.ReadAll(rp.Events)
+			g.Expect(err).To(HaveOccurred())
+			g.Expect(data).To(BeEmpty(), "no event was complete")
+			if len(rp.Events.(*session).pending) < maxEventBytes {
+				refused.Add(1)
+			}
+		})
+	}
+	wg.Wait()
+	g.Expect(refused.Load()).To(BeNumerically(">=", count-1), "streams that ended before their own limit")
+	g.Expect(ha.Memory.Used()).To(BeZero())
 }
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -4,6 +4,7 @@
 	"io"
 	"time"
 
+	"filbertstall.example/filbertstall/internal/buffer"
 	"filbertstall.example/filbertstall/internal/refusal"
 	"filbertstall.example/filbertstall/internal/roster"
 	"filbertstall.example/filbertstall/internal/upstream"
@@ -115,14 +116,14 @@
 }
 
 // Reply is the answer to a caller. Either Refusal is set, or Status and Headers
-// together with either Body or Events.
+// together with either Body or Events. Body must be freed, and Events closed.
 type Reply struct {
 	// Refusal is set if the instance answers by itself instead of forwarding an
 	// endpoint's answer.
 	Refusal *refusal.Error
 	Status  int
 	Headers []upstream.Header
-	Body    []byte
+	Body    *buffer.Buffer
 	// Events is the body of a stream. A read error other than io.EOF means that
 	// the stream is incomplete. The caller must close Events.
 	Events io.ReadCloser
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"filbertstall.example/filbertstall/internal/buffer"
 	"filbertstall.example/filbertstall/internal/migration"
 	"filbertstall.example/filbertstall/internal/pause"
 	"filbertstall.example/filbertstall/internal/placement"
@@ -85,6 +86,8 @@
 	// Its first completeBytes bytes are complete events.
 	pending       []byte
 	completeBytes int
+	// memory is the share of pending in Dispatcher.Memory.
+	memory buffer.Share
 	// scannedBytes is the number of bytes of pending that have no further end of an event.
 	scannedBytes int
 	// lastEvent is the ID of the last complete event that has one.
@@ -110,7 +113,7 @@
 	re.ticket.Started()
 	re.ticket.Answered()
 	di.Log.Info().Str("event", "first_event").Str("request", ta.ID).Str("endpoint", en.ID).Dur("took", di.Clock.Since(ta.Arrived)).Msg("dispatch: stream started")
-	se := &session{di: di, ta: ta, ctx: ctx, cancel: cancel, destination: de, answer: re.answer, ticket: re.ticket, sentAt: re.sentAt, beganAt: di.Clock.Now()}
+	se := &session{di: di, ta: ta, ctx: ctx, cancel: cancel, destination: de, answer: re.answer, ticket: re.ticket, sentAt: re.sentAt, beganAt: di.Clock.Now(), memory: buffer.Share{Budget: di.Memory}}
 	if ta.service.Engine != nil && ta.service.Engine.Migrates && di.Runs != nil {
 		se.run = &migration.Run{
 			ID: ta.ID, Service: ta.service.Name, Engine: ta.service.Engine,
@@ -143,6 +146,10 @@
 	se.pending = se.pending[count:]
 	se.completeBytes -= count
 	se.scannedBytes = max(se.scannedBytes-count, 0)
+	if len(se.pending) == 0 && cap(se.pending) > smallPendingBytes {
+		se.pending = nil
+		se.memory.Resize(0)
+	}
 	return count, nil
 }
 
@@ -162,7 +169,7 @@
 		se.stall.eventArrived()
 		se.checkProven()
 	}
-	if err == nil && len(se.pending)-se.completeBytes > maxEventBytes {
+	if err == nil && !se.fitsInMemory() {
 		err = errEventTooLarge
 	}
 	if err == nil {
@@ -200,6 +207,20 @@
 
 var errEventTooLarge = errors.New("dispatch: an event is too large")
 
+// smallPendingBytes is the size up to which the pending data of a stream is not taken
+// from Dispatcher.Memory.
+const smallPendingBytes = 2 * readBufferBytes
+
+// fitsInMemory reports whether the pending data is within its limits, and takes its
+// memory.
+func (se *session) fitsInMemory() bool {
+	if len(se.pending)-se.completeBytes > maxEventBytes {
+		return false
+	}
+	held := cap(se.pending)
+	return held <= smallPendingBytes || se.memory.Resize(int64(held))
+}
+
 var eventDelimiter = []byte("\n\n")
 
 // scanEvents counts the complete events in pending.
@@ -379,6 +400,7 @@
 // remaining complete events are delivered.
 func (se *session) finish(ou placement.Outcome, err error) {
 	se.endErr = err
+	se.memory.Resize(0)
 	se.stopStallWatch()
 	se.answer.Close()
 	se.ticket.End(ou)
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -38,7 +38,7 @@
 		return nil
 	}
 	gw.forwards = &ingress.Server{
-		Listener: li.forwards, Codec: forwardedCodec{gw.Adapter.Codec}, Dispatcher: di, Hangups: hangups, Clock: gw.Clock, Log: gw.Log, IDHeader: gw.Adapter.IDHeader, MaxInFlight: maxForwarded,
+		Listener: li.forwards, Codec: forwardedCodec{gw.Adapter.Codec}, Dispatcher: di, Hangups: hangups, Clock: gw.Clock, Log: gw.Log, IDHeader: gw.Adapter.IDHeader, Memory: gw.memory.bodies, MaxBodyBytes: gw.memory.maxBody, MaxInFlight: maxForwarded,
 	}
 	gw.forwards.Prepare()
 	return []controller.Controller{gw.forwards}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -31,7 +31,6 @@
 	"filbertstall.example/filbertstall/internal/placement"
 	"filbertstall.example/filbertstall/internal/ratelimit"
 	"filbertstall.example/filbertstall/internal/reachability"
-	"filbertstall.example/filbertstall/internal/readahead"
 	"filbertstall.example/filbertstall/internal/relay"
 	"filbertstall.example/filbertstall/internal/reservation"
 	"filbertstall.example/filbertstall/internal/rollout"
@@ -125,6 +124,7 @@
 	paths          reachability.Tracker
 	outliers       outlier.Detector
 	forwardPool    upstream.Pool
+	memory         memory
 	ingress        ingress.Server
 	// forwards serves the requests that other instances forward.
 	forwards *ingress.Server
@@ -219,6 +219,7 @@
 	gw.tracker = placement.LoadTracker{Clock: gw.Clock, Zone: se.Zone, Instance: se.Instance, Changes: make(chan struct{}, 1)}
 	zones := gw.buildSpillover()
 	gw.moveOrder = loadshare.MoveOrder{Instance: se.Instance, Changes: gw.tracker.Changes}
+	gw.memory = divideMemory(se.MemoryBytes)
 	gw.pool = upstream.Pool{IDHeader: gw.Adapter.IDHeader, Clock: gw.Clock, Dial: gw.Dial}
 	gw.buildGate(se.member())
 	gw.buildOutliers()
@@ -241,14 +242,14 @@
 	di := &dispatch.Dispatcher{
 		State: &gw.state, Roster: &gw.roster, Tracker: &gw.tracker, Gate: &gw.gate, Codec: gw.Adapter.Codec, Clock: gw.Clock, Log: gw.Log,
 		Budget: se.budget(gw.Clock, gw.instanceCount), MaxAges: gw.maxAges,
-		Runs: mover, Suspects: gw.suspects, Turns: turns{limiter: &gw.suspectLimiter}, Reachable: gw.pool.Reachable, Progress: engines.Progress, Paths: &gw.paths, Meter: &dispatch.Meter{Scope: gw.metrics.Scope},
+		Runs: mover, Suspects: gw.suspects, Turns: turns{limiter: &gw.suspectLimiter}, Reachable: gw.pool.Reachable, Progress: engines.Progress, Paths: &gw.paths, Memory: gw.memory.bodies, Meter: &dispatch.Meter{Scope: gw.metrics.Scope},
 	}
 	if gw.rollouts != nil {
 		di.Rollouts = gw.rollouts
 	}
-	gw.ingress = ingress.Server{Listener: li.callers, Codec: gw.Adapter.Codec, Dispatcher: di, Hangups: hangups, Clock: gw.Clock, Log: gw.Log}
+	gw.ingress = ingress.Server{Listener: li.callers, Codec: gw.Adapter.Codec, Dispatcher: di, Hangups: hangups, Clock: gw.Clock, Log: gw.Log, Memory: gw.memory.bodies, MaxBodyBytes: gw.memory.maxBody}
 	if se.SlowCallers {
-		gw.ingress.ReadAhead = &readahead.Budget{Bytes: readahead.DefaultBytes}
+		gw.ingress.ReadAhead = gw.memory.readAhead
 	}
 	gw.ingress.Prepare()
 	gw.ready = &readiness{state: &gw.state, roster: &gw.roster, maxAges: gw.maxAges, log: gw.Log}
--- /dev/null
+++ b/internal/gateway/memory.go
@@ -0,0 +1,46 @@
+package gateway
+
+import (
+	"filbertstall.example/filbertstall/internal/buffer"
+	"filbertstall.example/filbertstall/internal/ingress"
+	"filbertstall.example/filbertstall/internal/readahead"
+)
+
+const (
+	// bodiesDivisor and readAheadDivisor divide the memory of the process to get the
+	// limits for bodies, and for streams that are read ahead. The rest is for all that
+	// does not grow with what others send, and for the garbage collector.
+	bodiesDivisor    = 4
+	readAheadDivisor = 8
+	// maxBodyDivisor divides the limit for bodies to get that for the body of one request.
+	maxBodyDivisor = 2
+	// defaultBodyBytes is the limit for bodies if the memory of the process is not known.
+	defaultBodyBytes = 48 << 20
+	// heapShare is the share of the memory of the process above which the garbage
+	// collector runs more often instead of letting the heap double.
+	heapShare = 0.7
+)
+
+// memory has the limits for data whose size others decide.
+type memory struct {
+	bodies    *buffer.Budget
+	readAhead *readahead.Budget
+	// maxBody limits the body of one request.
+	maxBody int
+}
+
+// divideMemory divides the memory of the process, in bytes.
+func divideMemory(total int64) memory {
+	bodies, readAhead := int64(defaultBodyBytes), int64(readahead.DefaultBytes)
+	if total > 0 {
+		bodies, readAhead = total/bodiesDivisor, min(total/readAheadDivisor, readAhead)
+	}
+	return memory{
+		bodies: &buffer.Budget{Bytes: bodies}, readAhead: &readahead.Budget{Bytes: int(readAhead)},
+		maxBody: int(min(bodies/maxBodyDivisor, ingress.DefaultMaxBodyBytes)),
+	}
+}
+
+// HeapLimit returns the memory that the Go runtime may use, in bytes, or 0 if the memory
+// of the process is not known.
+func (se Settings) HeapLimit() int64 { return int64(heapShare * float64(se.MemoryBytes)) }
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -30,6 +30,9 @@
 	Forwards string
 	// LinkMbps is the network bandwidth of the instance, in Mbit/s.
 	LinkMbps int
+	// MemoryBytes is the memory that the process may use. Zero means that it is not
+	// known.
+	MemoryBytes int64
 	// Store is the address of the platform's store.
 	Store string
 	// KeyRevocationBound is the longest time for which an instance may still
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -15,6 +16,7 @@
 	"github.com/rs/zerolog"
 	"github.com/valyala/fasthttp"
 
+	"filbertstall.example/filbertstall/internal/buffer"
 	"filbertstall.example/filbertstall/internal/dispatch"
 	"filbertstall.example/filbertstall/internal/hangup"
 	"filbertstall.example/filbertstall/internal/readahead"
@@ -36,8 +38,14 @@
 	// maxHeaderBytes limits the header of a request. It is larger than what
 	// platforms allow.
 	maxHeaderBytes = 32 << 10
-	// maxBodyBytes limits the body of a request.
-	maxBodyBytes = 64 << 20
+	// DefaultMaxBodyBytes limits the body of a request.
+	DefaultMaxBodyBytes = 64 << 20
+	// smallBodyBytes is the size up to which the body of a request is not taken from
+	// Server.Memory.
+	smallBodyBytes = 16 << 10
+	// bodyCopies is how often the body of a request is in memory: as received, and as
+	// decoded for its attempts.
+	bodyCopies = 2
 	// readTimeout limits the time from the first byte of a request to its last.
 	readTimeout = 30 * time.Second
 	// idleTimeout is longer than the idle timeout that is announced to callers, so
@@ -62,6 +70,11 @@
 	// ReadAhead is the memory for streams that arrive faster than their callers read
 	// them. If it is nil, streams are read as fast as their callers read.
 	ReadAhead *readahead.Budget
+	// Memory limits the bodies of all requests that are being served. If it is nil, they
+	// have no common limit.
+	Memory *buffer.Budget
+	// MaxBodyBytes limits the body of one request. Zero means DefaultMaxBodyBytes.
+	MaxBodyBytes int
 
 	server    fasthttp.Server
 	stopping  atomic.Bool
@@ -75,7 +88,7 @@
 	se.base, se.cancelAll = context.WithCancelCause(context.Background())
 	se.server = fasthttp.Server{
 		Handler: se.handle, NoDefaultServerHeader: true, NoDefaultDate: true, NoDefaultContentType: true,
-		MaxRequestBodySize: maxBodyBytes, ReadBufferSize: maxHeaderBytes, ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
+		MaxRequestBodySize: cmp.Or(se.MaxBodyBytes, DefaultMaxBodyBytes), ReadBufferSize: maxHeaderBytes, ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
 		CloseOnShutdown: true, DisablePreParseMultipartForm: true, Logger: writetimeout.QuietLogger{},
 	}
 }
@@ -156,11 +169,18 @@
 		se.refuse(ctx, re, refusal.New(refusal.QueueFull, "the instance serves as many requests of others as it takes"))
 		return
 	}
+	body := buffer.Share{Budget: se.Memory}
+	if size := len(re.Body); size > smallBodyBytes && !body.Resize(bodyCopies*int64(size)) {
+		se.inFlight.Add(-1)
+		se.refuse(ctx, re, refusal.New(refusal.QueueFull, "the bodies of the requests in flight take all memory that they may"))
+		return
+	}
 	requestCtx, cancel := context.WithCancelCause(se.base)
 	stopWatch := se.Hangups.Watch(ctx.Conn(), func() { cancel(errCallerDisconnected) })
 	release := func() {
 		stopWatch()
 		cancel(nil)
+		body.Resize(0)
 		se.inFlight.Add(-1)
 	}
 	rp := se.dispatch(requestCtx, re)
@@ -200,12 +220,20 @@
 	}
 }
 
+// writeBody makes a body the response. A body of more than a chunk stays counted in the
+// memory of all bodies until the caller has read it.
 func writeBody(ctx *fasthttp.RequestCtx, rp dispatch.Reply) {
-	if ctx.IsHead() {
+	data, small := rp.Body.Small()
+	switch {
+	case ctx.IsHead():
 		ctx.Response.SkipBody = true
-		return
+		rp.Body.Free()
+	case small:
+		ctx.Response.SetBodyRaw(data)
+		rp.Body.Free()
+	default:
+		ctx.Response.SetBodyStream(rp.Body.Reader(), rp.Body.Len())
 	}
-	ctx.Response.SetBodyRaw(rp.Body)
 }
 
 // refuse writes the instance's own answer. If the status of the refusal's rule
--- a/internal/ingress/server_test.go
+++ b/internal/ingress/server_test.go
@@ -21,6 +21,7 @@
 	"filbertstall.example/filbertstall/internal/backpressure"
 	"filbertstall.example/filbertstall/internal/boottime"
 	"filbertstall.example/filbertstall/internal/budget"
+	"filbertstall.example/filbertstall/internal/buffer"
 	"filbertstall.example/filbertstall/internal/dispatch"
 	"filbertstall.example/filbertstall/internal/feed"
 	"filbertstall.example/filbertstall/internal/hangup"
@@ -227,6 +228,47 @@
 	g.Expect(retryAfter(&dispatch.Request{}, time.Second)).To(Equal(time.Second))
 }
 
+// Callers that read a large answer slowly, and long bodies of requests in flight, took
+// memory without a common bound.
+func TestBodiesHaveACommonBound(t *testing.T) {
+	g := NewWithT(t)
+	began, finish := make(chan struct{}, 1), make(chan struct{})
+	memory := &buffer.Budget{Bytes: 1 << 20}
+	se, url := start(t, endpoint(t, func(conn net.Conn, id string) {
+		began <- struct{}{}
+		<-finish
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: %d\r\n\r\n%s", id, 100<<10, strings.Repeat("a", 100<<10))
+	}), func(se *Server) { se.Memory = memory })
+	se.Dispatcher.Memory = memory
+	post := func(size int) (int, string) {
+		re, err := http.NewRequest(http.MethodPost, url+"/x", strings.NewReader(strings.Repeat("b", size)))
+		g.Expect(err).NotTo(HaveOccurred())
+		re.Header.Set("Id", "7")
+		resp, err := http.DefaultClient.Do(re)
+		g.Expect(err).NotTo(HaveOccurred())
+		defer func() { _ = resp.Body.Close() }()
+		body, err := io.ReadAll(resp.Body)
+		g.Expect(err).NotTo(HaveOccurred())
+		return resp.StatusCode, string(body)
+	}
+	done := make(chan string, 1)
+	go func() {
+		_, body := post(200 << 10)
+		done <- body
+	}()
+	g.Eventually(began, "5s").Should(Receive())
+	status, body := post(200 << 10)
+	g.Expect(status).To(Equal(http.StatusTooManyRequests))
+	g.Expect(body).To(ContainSubstring(`"outcome":"not_run"`))
+	close(finish)
+	g.Eventually(done, "5s").Should(Receive(HaveLen(100 << 10)))
+	g.Eventually(memory.Used, "5s").Should(BeZero())
+	status, body = post(200 << 10)
+	g.Expect(status).To(Equal(http.StatusOK))
+	g.Expect(body).To(Equal(strings.Repeat("a", 100<<10)))
+	g.Eventually(memory.Used, "5s").Should(BeZero())
+}
+
 // A stream whose endpoint closes the connection before the final chunk must not
 // look complete to the caller.
 func TestBrokenStreamEndsWithoutItsEnd(t *testing.T) {
--- a/internal/upstream/answer.go
+++ b/internal/upstream/answer.go
@@ -37,7 +37,7 @@
 	closeDelimitedLength = -2
 )
 
-// ErrTooLarge is returned by ReadAll if the body is larger than the limit.
+// ErrTooLarge is returned by ReadAll and Discard if the body is larger than the limit.
 var ErrTooLarge = errors.New("upstream: the body is too large")
 
 // Get returns the first value of a header field, or an empty string. The name is
@@ -74,6 +74,26 @@
 	return data, nil
 }
 
+// discardBufferBytes is the size of the buffer that Discard reads into.
+const discardBufferBytes = 4 << 10
+
+// Discard reads the whole body without keeping it. It returns ErrTooLarge if the body
+// has more than limit bytes.
+func (an *Answer) Discard(limit int) error {
+	var buffer [discardBufferBytes]byte
+	for total := 0; total <= limit; {
+		count, err := an.Read(buffer[:])
+		total += count
+		switch {
+		case errors.Is(err, io.EOF) && total <= limit:
+			return nil
+		case err != nil && !errors.Is(err, io.EOF):
+			return err
+		}
+	}
+	return ErrTooLarge
+}
+
 // Close ends the call. The connection is returned to the pool if the whole request
 // was written, the whole answer was read, the endpoint keeps the connection open,
 // the context has not ended and no unread data is buffered. Otherwise it is closed,
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"bytes"
+	"io"
 	"net"
 	"sync/atomic"
 	"syscall"
@@ -51,16 +53,16 @@
 // is written in the background while the answer is read.
 func (cn *conn) send(ca Call) error {
 	cn.writeState.Store(writing)
-	data := append(ca.head(), ca.Body...)
 	if len(ca.Body) > asyncWriteBytes {
-		go func() { _ = cn.write(data) }()
+		data := net.Buffers{ca.head(), ca.Body}
+		go func() { _ = cn.write(&data) }()
 		return nil
 	}
-	return cn.write(data)
+	return cn.write(bytes.NewBuffer(append(ca.head(), ca.Body...)))
 }
 
-func (cn *conn) write(data []byte) error {
-	if _, err := cn.Write(data); err != nil {
+func (cn *conn) write(data io.WriterTo) error {
+	if _, err := data.WriteTo(cn.Conn); err != nil {
 		cn.writeState.Store(writeFailed)
 		return err
 	}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -97,7 +97,7 @@
 		if !reused || !an.Framed || an.Get(po.IDHeader) == "" {
 			break
 		}
-		if _, err := an.ReadAll(maxStaleBodyBytes); err != nil {
+		if err := an.Discard(maxStaleBodyBytes); err != nil {
 			return nil, err
 		}
 	}
