concurrency: count requests that have no slot

Cause: the account of an endpoint's slots began empty. Requests sent before the endpoint said so, and slots of another allocator, were not counted; the slot of a request that was turned away was given out again at once; an entry that names more slots than the service's configuration was believed.

Change: instances report what they have in progress without a slot of the account; a new account first collects reports; an endpoint that turned a request away gets no more than it had room for. Permits of callers who left while waiting, and of resumed streams, are given back.

--- a/internal/backpressure/gate.go
+++ b/internal/backpressure/gate.go
@@ -28,10 +28,19 @@
 // Slots gives out the slots of endpoints that must not get more requests than they
 // process at once. concurrency.Limiter implements it.
 type Slots interface {
-	// Take takes a slot of an endpoint for at most lease and returns a function that
-	// gives it back. If there is none within maxWait, it returns false, and after how
-	// long it is worth asking again.
-	Take(ctx context.Context, en roster.Endpoint, maxWait, lease time.Duration) (release func(), wait time.Duration, taken bool)
+	// Take takes a slot of an endpoint for at most lease. If there is none within
+	// maxWait, it returns false, and after how long it is worth asking again.
+	Take(ctx context.Context, en roster.Endpoint, maxWait, lease time.Duration) (use Use, wait time.Duration, taken bool)
+	// Enter counts a request that needs no slot, since it may still be in progress when
+	// its endpoint's slots are given out.
+	Enter(en roster.Endpoint) Use
+}
+
+// Use is one request in progress at an endpoint.
+type Use interface {
+	// End must be called once, when the request is no longer in progress. turnedAway is
+	// set if the endpoint had no room for it.
+	End(turnedAway bool)
 }
 
 // permitLifetime is the time after which a permit that was not used expires. A
@@ -46,16 +55,21 @@
 	// control is set for calls to the control API.
 	control bool
 	used    atomic.Bool
-	// release gives back the slot that the call has at its endpoint. It may be nil.
-	release func()
-	once    sync.Once
+	// use is the call as a request in progress at its endpoint. It may be nil.
+	use        Use
+	turnedAway atomic.Bool
+	once       sync.Once
 }
 
+// TurnedAway records that the endpoint had no room for the call. It must be called before
+// Release.
+func (pe *Permit) TurnedAway() { pe.turnedAway.Store(true) }
+
 // Release must be called when the call has ended, or will not be made. Further calls have
 // no effect, nor has one on a nil permit.
 func (pe *Permit) Release() {
-	if pe != nil && pe.release != nil {
-		pe.once.Do(pe.release)
+	if pe != nil && pe.use != nil {
+		pe.once.Do(func() { pe.use.End(pe.turnedAway.Load()) })
 	}
 }
 
@@ -72,6 +86,9 @@
 	// Slots gives out the slots of brittle endpoints. If it is nil, they get requests
 	// like others.
 	Slots Slots
+	// SlotsOf returns how many requests an endpoint processes at once. If it is nil, the
+	// number is that of the endpoint's entry.
+	SlotsOf func(en roster.Endpoint) int
 }
 
 // Terms are the conditions of a request to an endpoint.
@@ -98,7 +115,7 @@
 }
 
 // Request returns a permit for a request of a caller, valid after at most
-// Terms.MaxWait. An error is of type *Error.
+// Terms.MaxWait. It must be released. An error is of type *Error.
 func (ga *Gate) Request(ctx context.Context, en roster.Endpoint, te Terms) (*Permit, error) {
 	st, _ := ga.Registry.lookup(en)
 	now := ga.Registry.Boot.Now()
@@ -124,18 +141,25 @@
 // takeSlot returns a permit that has a slot of a brittle endpoint.
 func (ga *Gate) takeSlot(ctx context.Context, en roster.Endpoint, te Terms, st state) (*Permit, error) {
 	pe := &Permit{endpoint: en}
-	if !st.brittle || te.HasRoom || ga.Slots == nil {
+	if ga.Slots == nil {
+		return pe, nil
+	}
+	if ga.SlotsOf != nil {
+		en.Slots = ga.SlotsOf(en)
+	}
+	if !st.brittle || te.HasRoom {
+		pe.use = ga.Slots.Enter(en)
 		return pe, nil
 	}
 	if left := st.deniedUntil - ga.Registry.Boot.Now(); te.MaxWait <= 0 && left > 0 {
 		return nil, &Error{Op: "request", Endpoint: en.ID, Kind: Full, After: left}
 	}
-	release, wait, taken := ga.Slots.Take(ctx, en, te.MaxWait, te.Lease)
+	use, wait, taken := ga.Slots.Take(ctx, en, te.MaxWait, te.Lease)
 	if !taken {
 		ga.Registry.deny(en, wait)
 		return nil, &Error{Op: "request", Endpoint: en.ID, Kind: Full, After: wait}
 	}
-	pe.release = release
+	pe.use = use
 	return pe, nil
 }
 
--- a/internal/backpressure/registry_test.go
+++ b/internal/backpressure/registry_test.go
@@ -226,14 +226,20 @@
 // oneSlot gives out one slot of each endpoint at a time.
 type oneSlot struct{ taken map[string]bool }
 
-func (os oneSlot) Take(_ context.Context, en roster.Endpoint, _, _ time.Duration) (func(), time.Duration, bool) {
+func (os oneSlot) Take(_ context.Context, en roster.Endpoint, _, _ time.Duration) (Use, time.Duration, bool) {
 	if os.taken[en.ID] {
 		return nil, 50 * time.Millisecond, false
 	}
 	os.taken[en.ID] = true
-	return func() { delete(os.taken, en.ID) }, 0, true
+	return slotUse(func(bool) { delete(os.taken, en.ID) }), 0, true
 }
 
+func (os oneSlot) Enter(roster.Endpoint) Use { return slotUse(func(bool) {}) }
+
+type slotUse func(turnedAway bool)
+
+func (su slotUse) End(turnedAway bool) { su(turnedAway) }
+
 // A brittle endpoint gets no request without a slot, as long as its answers say so. A run
 // for which it keeps room needs none.
 func TestBrittleEndpointsNeedSlots(t *testing.T) {
--- a/internal/concurrency/allocator.go
+++ b/internal/concurrency/allocator.go
@@ -2,6 +2,8 @@
 
 import (
 	"maps"
+	"math"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -17,6 +19,15 @@
 	leaseMargin = 200 * time.Millisecond
 	// maxWaiting is the largest number of requests that wait for one endpoint.
 	maxWaiting = 1024
+	// holdLifetime is the time for which a report of requests in progress counts. It is
+	// three intervals of reports.
+	holdLifetime = 3 * reportInterval
+	// collectTime is the time after the first call for an endpoint in which no slots are
+	// given out, so that all instances can report their requests in progress.
+	collectTime = 400 * time.Millisecond
+	// roomStep is the time after which an endpoint that turned a request away may get one
+	// more than it had at that moment.
+	roomStep = 1500 * time.Millisecond
 	// retryAfter is the time after which a request that got no slot may ask again.
 	retryAfter = 50 * time.Millisecond
 )
@@ -30,6 +41,8 @@
 	mu        sync.Mutex
 	endpoints map[key]*endpoint
 	lastSlot  uint64
+	// epoch tells the accounts of different processes of an instance apart.
+	epoch int64
 }
 
 // key identifies a process of an endpoint.
@@ -40,9 +53,25 @@
 
 // endpoint has the slots of one endpoint.
 type endpoint struct {
+	// since is when the account began, usedAt when it was last asked.
+	since, usedAt time.Duration
+	// slots is how many requests this part of the fleet may have in progress.
+	slots int
 	// taken maps the slots that are given out, by number, to the end of their leases.
-	taken   map[uint64]time.Duration
+	taken map[uint64]time.Duration
+	// holds has the requests in progress that have no slot of this account, by instance.
+	holds   map[string]hold
 	waiting []*waiter
+	// room is how many requests the endpoint had room for when it last turned one away,
+	// at roomAt. It is below zero if it turned none away.
+	room   int
+	roomAt time.Duration
+}
+
+// hold is the number of requests in progress that an instance reported.
+type hold struct {
+	count int
+	until time.Duration
 }
 
 // waiter is a request that waits for a slot.
@@ -74,6 +103,9 @@
 	// IsAllocator is false if the asked instance does not give out these slots, or not
 	// yet.
 	IsAllocator bool
+	// Epoch is that of the allocator's process. Instances of earlier versions send none;
+	// it is zero then.
+	Epoch int64
 	// Slot is the number of the slot, or zero if there was none in time.
 	Slot uint64
 }
@@ -83,6 +115,9 @@
 	Endpoint string
 	Started  int64
 	Slot     uint64
+	// TurnedAway is set if the endpoint had no room for the request. Instances of earlier
+	// versions ignore it.
+	TurnedAway bool
 }
 
 // Take gives out a slot, if this instance is the allocator and there is one in time.
@@ -98,7 +133,7 @@
 	}
 	slot, wa := al.takeOrWait(ar, slots)
 	if wa == nil {
-		return TakeReply{IsAllocator: true, Slot: slot}
+		return TakeReply{IsAllocator: true, Epoch: al.Epoch(), Slot: slot}
 	}
 	ti := time.NewTimer(ar.MaxWait)
 	defer ti.Stop()
@@ -107,26 +142,17 @@
 	case <-ti.C:
 		slot = al.giveUp(ar.key(), wa)
 	}
-	return TakeReply{IsAllocator: true, Slot: slot}
+	return TakeReply{IsAllocator: true, Epoch: al.Epoch(), Slot: slot}
 }
 
 // takeOrWait takes a free slot, or else adds a waiter if the request can wait.
 func (al *Allocator) takeOrWait(ar TakeArgs, slots int) (uint64, *waiter) {
 	al.mu.Lock()
 	defer al.mu.Unlock()
-	en := al.endpoints[ar.key()]
-	if en == nil {
-		if al.endpoints == nil {
-			al.endpoints = make(map[key]*endpoint)
-		}
-		en = &endpoint{taken: make(map[uint64]time.Duration)}
-		al.endpoints[ar.key()] = en
-	}
-	en.expire(al.Boot.Now())
-	for len(en.waiting) > 0 && len(en.taken) < slots {
-		al.grantNext(en)
-	}
-	if len(en.taken) < slots {
+	en := al.endpoint(ar.key())
+	en.slots = slots
+	al.grantWaiting(en)
+	if len(en.waiting) == 0 && en.hasRoom(al.Boot.Now()) {
 		return al.grant(en, ar.Lease), nil
 	}
 	if ar.MaxWait <= 0 || len(en.waiting) >= maxWaiting {
@@ -137,6 +163,54 @@
 	return 0, wa
 }
 
+// endpoint returns the account of an endpoint. The caller must hold mu.
+func (al *Allocator) endpoint(ke key) *endpoint {
+	en := al.endpoints[ke]
+	if en == nil {
+		if al.endpoints == nil {
+			al.endpoints = make(map[key]*endpoint)
+		}
+		en = &endpoint{since: al.Boot.Now(), taken: make(map[uint64]time.Duration), holds: make(map[string]hold), room: -1}
+		al.endpoints[ke] = en
+	}
+	en.usedAt = al.Boot.Now()
+	return en
+}
+
+// Epoch returns a number that differs between the processes of an instance. It is not
+// zero.
+func (al *Allocator) Epoch() int64 {
+	al.mu.Lock()
+	defer al.mu.Unlock()
+	if al.epoch == 0 {
+		al.epoch = rand.Int64N(math.MaxInt64-1) + 1
+	}
+	return al.epoch
+}
+
+// inProgress returns the number of requests in progress at the endpoint.
+func (en *endpoint) inProgress() int {
+	count := len(en.taken)
+	for _, ho := range en.holds {
+		count += ho.count
+	}
+	return count
+}
+
+// hasRoom reports whether a slot may be given out.
+func (en *endpoint) hasRoom(now time.Duration) bool {
+	bound := en.slots
+	if en.room >= 0 {
+		bound = min(bound, en.room+int((now-en.roomAt)/roomStep))
+	}
+	return now-en.since >= collectTime && en.inProgress() < bound
+}
+
+// turnedAway records that the endpoint had no room for one of the requests in progress.
+func (en *endpoint) turnedAway(now time.Duration) {
+	en.room, en.roomAt = max(en.inProgress()-1, 0), now
+}
+
 // grant gives out a slot. The caller must hold mu.
 func (al *Allocator) grant(en *endpoint, lease time.Duration) uint64 {
 	al.lastSlot++
@@ -144,11 +218,16 @@
 	return al.lastSlot
 }
 
-// grantNext gives a slot to the request that waits longest. The caller must hold mu.
-func (al *Allocator) grantNext(en *endpoint) {
-	wa := en.waiting[0]
-	en.waiting = en.waiting[1:]
-	wa.granted <- al.grant(en, wa.lease)
+// grantWaiting gives free slots to the requests that wait, the one that waits longest
+// first. The caller must hold mu.
+func (al *Allocator) grantWaiting(en *endpoint) {
+	now := al.Boot.Now()
+	en.expire(now)
+	for len(en.waiting) > 0 && en.hasRoom(now) {
+		wa := en.waiting[0]
+		en.waiting = en.waiting[1:]
+		wa.granted <- al.grant(en, wa.lease)
+	}
 }
 
 // giveUp removes a waiter. It returns a slot that was given out in the meantime.
@@ -177,24 +256,39 @@
 	if _, taken := en.taken[ar.Slot]; !taken {
 		return
 	}
-	delete(en.taken, ar.Slot)
-	if len(en.waiting) > 0 {
-		al.grantNext(en)
+	if ar.TurnedAway {
+		en.turnedAway(al.Boot.Now())
 	}
+	delete(en.taken, ar.Slot)
+	al.grantWaiting(en)
 }
 
-// expire drops the slots whose leases have ended.
+// expire drops the slots whose leases have ended, and reports that are too old.
 func (en *endpoint) expire(now time.Duration) {
 	maps.DeleteFunc(en.taken, func(_ uint64, until time.Duration) bool { return now > until })
+	maps.DeleteFunc(en.holds, func(_ string, ho hold) bool { return now > ho.until })
 }
 
-// Prune drops the endpoints of which no slot is given out.
+// Check gives out slots that have become free by the passing of time. It must be called
+// several times a second.
+func (al *Allocator) Check() {
+	al.mu.Lock()
+	defer al.mu.Unlock()
+	for _, en := range al.endpoints {
+		al.grantWaiting(en)
+	}
+}
+
+// pruneAfter is the time for which an account without requests is kept.
+const pruneAfter = time.Minute
+
+// Prune drops the accounts of endpoints without requests.
 func (al *Allocator) Prune() {
 	now := al.Boot.Now()
 	al.mu.Lock()
 	defer al.mu.Unlock()
 	for ke, en := range al.endpoints {
-		if en.expire(now); len(en.taken)+len(en.waiting) == 0 {
+		if en.expire(now); en.inProgress()+len(en.waiting) == 0 && now-en.usedAt > pruneAfter {
 			delete(al.endpoints, ke)
 		}
 	}
@@ -223,6 +317,13 @@
 	return nil
 }
 
+// Report is Allocator.Report as net/rpc requires it.
+func (se *Service) Report(ar ReportArgs, re *ReportReply) (err error) {
+	defer peer.Recover(&err)
+	*re = se.al.Report(ar)
+	return nil
+}
+
 // ReleaseReply is the answer to ReleaseArgs.
 type ReleaseReply struct {
 	// Reserved is unused. It is present because gob cannot encode empty structs.
--- a/internal/concurrency/concurrency_test.go
+++ b/internal/concurrency/concurrency_test.go
@@ -52,8 +52,13 @@
 		*reply.(*TakeReply) = al.Take(args.(TakeArgs))
 		return nil
 	}
-	if !pc.fl.losesReleases.Load() {
-		al.Release(args.(ReleaseArgs))
+	switch ar := args.(type) {
+	case ReportArgs:
+		*reply.(*ReportReply) = al.Report(ar)
+	case ReleaseArgs:
+		if !pc.fl.losesReleases.Load() {
+			al.Release(ar)
+		}
 	}
 	return nil
 }
@@ -93,6 +98,15 @@
 	}
 }
 
+// open begins the accounts of an endpoint at all instances and lets the time pass in which
+// they collect reports.
+func (fl *fleet) open(en roster.Endpoint) {
+	for _, li := range fl.limiters {
+		li.Allocator.Report(ReportArgs{Instance: "none", Holds: []Hold{{Endpoint: en.ID, Started: en.Started}}})
+	}
+	fl.boot.Advance(collectTime)
+}
+
 var endpoint1 = roster.Endpoint{ID: "e1", Zone: "a", Slots: 6}
 
 // However many instances there are, no more requests are in progress at an endpoint than
@@ -103,6 +117,7 @@
 			t.Parallel()
 			g := NewWithT(t)
 			fl := newFleet(size)
+			fl.open(endpoint1)
 			var running, served, denied atomic.Int64
 			var most int64
 			var mu sync.Mutex
@@ -111,7 +126,7 @@
 				li := fl.limiters[ix%size]
 				wg.Go(func() {
 					for range 5 {
-						release, _, taken := li.Take(t.Context(), endpoint1, 100*time.Millisecond, time.Minute)
+						slot, _, taken := li.Take(t.Context(), endpoint1, 100*time.Millisecond, time.Minute)
 						if !taken {
 							denied.Add(1)
 							continue
@@ -122,7 +137,7 @@
 						mu.Unlock()
 						time.Sleep(2 * time.Millisecond)
 						running.Add(-1)
-						release()
+						slot.End(false)
 						served.Add(1)
 					}
 				})
@@ -140,6 +155,7 @@
 func TestLostReturnsEndWithTheLease(t *testing.T) {
 	g := NewWithT(t)
 	fl := newFleet(6)
+	fl.open(endpoint1)
 	fl.losesReleases.Store(true)
 	lease := time.Second
 	take := func() bool {
@@ -166,6 +182,7 @@
 	for range 10 {
 		fl.hear(func(from, to int) bool { return side(from) == side(to) })
 	}
+	fl.open(endpoint1)
 	taken := 0
 	for range 3 {
 		for _, li := range fl.limiters {
@@ -182,10 +199,10 @@
 	for range 20 {
 		taken = 0
 		for _, li := range fl.limiters {
-			release, _, got := li.Take(t.Context(), roster.Endpoint{ID: "e2", Zone: "b", Slots: 6}, 0, time.Minute)
+			slot, _, got := li.Take(t.Context(), roster.Endpoint{ID: "e2", Zone: "b", Slots: 6}, 0, time.Minute)
 			if got {
 				taken++
-				release()
+				slot.End(false)
 			}
 		}
 		g.Expect(taken).To(BeNumerically("<=", 3*endpoint1.Slots))
@@ -200,16 +217,17 @@
 	fl := newFleet(1)
 	li := fl.limiters[0]
 	one := roster.Endpoint{ID: "e3", Zone: "a", Slots: 1}
-	release, _, taken := li.Take(t.Context(), one, 0, time.Minute)
+	fl.open(one)
+	slot, _, taken := li.Take(t.Context(), one, 0, time.Minute)
 	g.Expect(taken).To(BeTrue())
 	order := make(chan int, 3)
 	var wg sync.WaitGroup
 	for ix, maxWait := range []time.Duration{10 * time.Millisecond, 5 * time.Second, 5 * time.Second} {
 		wg.Go(func() {
-			release, _, taken := li.Take(t.Context(), one, maxWait, time.Minute)
+			slot, _, taken := li.Take(t.Context(), one, maxWait, time.Minute)
 			if taken {
 				order <- ix
-				release()
+				slot.End(false)
 			}
 		})
 		g.Eventually(func() int {
@@ -219,7 +237,7 @@
 		}, "2s", "1ms").Should(BeNumerically(">=", 1))
 		time.Sleep(30 * time.Millisecond)
 	}
-	release()
+	slot.End(false)
 	wg.Wait()
 	g.Expect(<-order).To(Equal(1))
 	g.Expect(<-order).To(Equal(2))
@@ -231,12 +249,13 @@
 func TestCallersWhoLeaveDoNotCancelCalls(t *testing.T) {
 	g := NewWithT(t)
 	fl := newFleet(6)
+	fl.open(endpoint1)
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
 	for _, li := range fl.limiters {
-		release, _, taken := li.Take(ctx, endpoint1, time.Second, time.Minute)
+		slot, _, taken := li.Take(ctx, endpoint1, time.Second, time.Minute)
 		g.Expect(taken).To(BeTrue())
-		release()
+		slot.End(false)
 	}
 	g.Expect(fl.calls.Load()).To(BeNumerically(">=", 5))
 	g.Expect(fl.canceled.Load()).To(BeZero())
--- a/internal/concurrency/doc.go
+++ b/internal/concurrency/doc.go
@@ -8,6 +8,11 @@
 // had it ends. All instances derive the allocator from the list of instances, as package
 // ratelimit does.
 //
+// Requests that have no slot of the allocator's account count, too: those that were sent
+// before the endpoint said that it is brittle, or that have a slot of another allocator.
+// Their instances report them. An endpoint that turned a request away gets no more requests
+// than it had room for at that moment, and from time to time one more.
+//
 // A slot that is not given back, because its instance has stopped or a message was lost,
 // is free when its lease ends. An instance that can't ask the allocator may send one
 // request at a time while it is its turn; the turns go round in groups of as many
@@ -18,5 +23,7 @@
 //	al := &concurrency.Allocator{Peers: peers, Boot: boot}
 //	err := server.Register(concurrency.ServiceName, al.Service())
 //	li := &concurrency.Limiter{Peers: peers, Allocator: al, Caller: client, Boot: boot}
-//	release, wait, taken := li.Take(ctx, endpoint, maxWait, lease) // a backpressure.Slots
+//	use, wait, taken := li.Take(ctx, endpoint, maxWait, lease) // a backpressure.Slots
+//	use.End(false)
+//	li.Report() // several times a second, as al.Check()
 package concurrency
--- a/internal/concurrency/limiter.go
+++ b/internal/concurrency/limiter.go
@@ -7,6 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"filbertstall.example/filbertstall/internal/backpressure"
 	"filbertstall.example/filbertstall/internal/boottime"
 	"filbertstall.example/filbertstall/internal/peer"
 	"filbertstall.example/filbertstall/internal/ratelimit"
@@ -36,27 +37,42 @@
 	Caller    peer.Caller
 	Boot      boottime.Clock
 
+	// IsBrittle reports whether an endpoint says that it is brittle. Only then are requests
+	// in progress reported to its allocator. If it is nil, none are.
+	IsBrittle func(en roster.Endpoint) bool
+
 	// skips has the instances that did not answer lately.
 	skips peer.Skips
 	mu    sync.Mutex
 	// alone has the endpoints with a request that was sent without asking.
 	alone map[key]bool
+	// inProgress has the endpoints with requests of this instance, epochs the processes
+	// of the allocators.
+	inProgress map[key]*progress
+	epochs     map[string]int64
 }
 
+// Enter implements backpressure.Slots.
+func (li *Limiter) Enter(en roster.Endpoint) backpressure.Use { return li.enter(en, grantor{}, nil) }
+
 // Take implements backpressure.Slots.
-func (li *Limiter) Take(ctx context.Context, en roster.Endpoint, maxWait, lease time.Duration) (release func(), wait time.Duration, taken bool) {
+func (li *Limiter) Take(ctx context.Context, en roster.Endpoint, maxWait, lease time.Duration) (us backpressure.Use, wait time.Duration, taken bool) {
 	ar := TakeArgs{Endpoint: en.ID, Started: en.Started, Zone: en.Zone, Slots: max(en.Slots, 1), MaxWait: min(maxWait, maxAllocatorWait), Lease: lease}
 	vi := li.Peers.View(en.ID, en.Zone)
 	re, asked := li.ask(ctx, vi, ar)
 	switch {
 	case !asked:
-		return li.takeTurn(ar, vi)
+		return li.takeTurn(en, ar, vi)
 	case re.Slot == 0:
 		return nil, retryAfter, false
 	}
 	name, address := vi.Allocator.Name, vi.Allocator.Address.String()
 	rel := ReleaseArgs{Endpoint: en.ID, Started: en.Started, Slot: re.Slot}
-	return func() { li.release(name, address, rel) }, 0, true
+	li.learnEpoch(name, re.Epoch)
+	return li.enter(en, grantor{instance: name, epoch: re.Epoch}, func(turnedAway bool) {
+		rel.TurnedAway = turnedAway
+		li.release(name, address, rel)
+	}), 0, true
 }
 
 // ask asks the allocator. It returns false if there is none that answers.
@@ -100,7 +116,7 @@
 
 // takeTurn lets the instance send one request at a time without an allocator while it is
 // its turn.
-func (li *Limiter) takeTurn(ar TakeArgs, vi ratelimit.View) (release func(), wait time.Duration, taken bool) {
+func (li *Limiter) takeTurn(en roster.Endpoint, ar TakeArgs, vi ratelimit.View) (us backpressure.Use, wait time.Duration, taken bool) {
 	groups := uint64((max(vi.Total, 1) + ar.Slots - 1) / ar.Slots)
 	now := li.Boot.Now()
 	group := xxhash.Sum64String(ar.Endpoint+"/"+li.Peers.Self.Name) % groups
@@ -108,16 +124,24 @@
 		return nil, turnPeriod - now%turnPeriod, false
 	}
 	ke := ar.key()
+	if !li.beginTurn(ke) {
+		return nil, retryAfter, false
+	}
+	return li.enter(en, grantor{}, func(bool) { li.endTurn(ke) }), 0, true
+}
+
+// beginTurn reports whether no request is in progress that was sent without asking.
+func (li *Limiter) beginTurn(ke key) bool {
 	li.mu.Lock()
 	defer li.mu.Unlock()
+	if li.alone[ke] {
+		return false
+	}
 	if li.alone == nil {
 		li.alone = make(map[key]bool)
 	}
-	if li.alone[ke] {
-		return nil, retryAfter, false
-	}
 	li.alone[ke] = true
-	return func() { li.endTurn(ke) }, 0, true
+	return true
 }
 
 func (li *Limiter) endTurn(ke key) {
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -107,6 +107,9 @@
 	ve := di.Codec.Verdict(an)
 	switch {
 	case ve.NotRun || ve.Misdirected:
+		if !ve.Misdirected {
+			de.permit.TurnedAway()
+		}
 		return di.handleNotRun(ta, en, ti, an, ve)
 	case !ve.Genuine:
 		ti.End(placement.Lost)
--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -126,6 +126,7 @@
 	for _, ca := range list[:min(len(list), maxQueues)] {
 		pe, err := di.awaitPermit(ctx, ta, ca.endpoint)
 		if ctx.Err() != nil {
+			pe.Release()
 			return destination{}, refusal.New(refusal.CallerGone, "the caller left, or its time passed, before the request was sent")
 		}
 		if err != nil {
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -339,6 +339,7 @@
 	if err != nil {
 		return err
 	}
+	mv.Ticket.OnEnd(pe.Release)
 	pause.For(se.ctx, di.Clock, di.Gate.Wait(pe))
 	se.standby.release()
 	se.standby = di.reserveStandby(se.ta, mv.Target, se.demand)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -117,6 +117,8 @@
 	limiter     ratelimit.Limiter
 	// slots gives out the slots of brittle endpoints.
 	slots concurrency.Allocator
+	// inProgress counts the requests in progress at endpoints.
+	inProgress *concurrency.Limiter
 	// engines chooses engines for the instances of the zone.
 	engines reservation.Allocator
 	// suspectLimiter paces requests with features that may crash endpoints.
--- a/internal/gateway/readiness.go
+++ b/internal/gateway/readiness.go
@@ -95,6 +95,8 @@
 		}
 		ex.gw.roster.RemoveExpired()
 		ex.gw.peers.Check()
+		ex.gw.slots.Check()
+		ex.gw.inProgress.Report()
 		if tick%ticksPerPrune == 0 {
 			ex.gw.pool.Prune()
 			ex.gw.forwardPool.Prune()
--- a/internal/gateway/signals.go
+++ b/internal/gateway/signals.go
@@ -6,6 +6,7 @@
 	"filbertstall.example/filbertstall/internal/loadshare"
 	"filbertstall.example/filbertstall/internal/peer"
 	"filbertstall.example/filbertstall/internal/ratelimit"
+	"filbertstall.example/filbertstall/internal/roster"
 )
 
 // buildGate creates the gate that all calls to endpoints pass, and what divides the
@@ -18,11 +19,25 @@
 	gw.suspectLimiter = ratelimit.Limiter{Peers: &gw.peers, Allocator: &gw.allocator, Caller: &peer.Client{}, Boot: gw.Boot}
 	gw.buildEngines()
 	gw.slots = concurrency.Allocator{Peers: &gw.peers, Boot: gw.Boot}
-	slots := &concurrency.Limiter{Peers: &gw.peers, Allocator: &gw.slots, Caller: &peer.Client{}, Boot: gw.Boot}
-	gw.gate = backpressure.Gate{Slots: slots, Transport: &gw.pool, Decode: gw.Adapter.Codec.Signal, Registry: &gw.signals, Limiter: &gw.limiter}
+	slots := &concurrency.Limiter{Peers: &gw.peers, Allocator: &gw.slots, Caller: &peer.Client{}, Boot: gw.Boot, IsBrittle: gw.signals.IsBrittle}
+	gw.inProgress = slots
+	gw.gate = backpressure.Gate{Slots: slots, SlotsOf: gw.slotsOf, Transport: &gw.pool, Decode: gw.Adapter.Codec.Signal, Registry: &gw.signals, Limiter: &gw.limiter}
 	gw.tracker.Backpressure = &gw.signals
 }
 
+// slotsOf returns how many requests an endpoint processes at once: an engine no more than
+// the configuration of its service says, whatever its entry does.
+func (gw *Gateway) slotsOf(en roster.Endpoint) int {
+	cf := gw.state.Load()
+	if cf == nil {
+		return en.Slots
+	}
+	if se, known := cf.Service(en.Service); known && se.Engine != nil && se.Engine.Slots > 0 {
+		return min(en.Slots, se.Engine.Slots)
+	}
+	return en.Slots
+}
+
 // leaves marks an endpoint as leaving because an answer of its process said so.
 func (gw *Gateway) leaves(id string, started int64) {
 	if en, known := gw.roster.View().Get(id); known && en.Started == started {
