migration: stop a run before it goes on elsewhere

An engine whose connection broke went on with its run, and the gateway let the run go on from its standby copy at once: two engines worked on one request for 1.4 s, 0.4 s are allowed.

Cause: the end of a connection was taken as proof that the engine had dropped the run, though the engine could be asked.

Change: Mover.Settle tells the engine to stop the run. TestMoveOneFails told a lost answer from one that proves nothing was done only by name; both are cases.

--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -258,6 +258,10 @@
 
 func (*moverOnce) MoveOne(context.Context, *migration.Run) bool { return false }
 
+func (*moverOnce) Settle(context.Context, *migration.Run, string) migration.Fate {
+	return migration.Gone
+}
+
 // A moved run continues after the last event that the caller received.
 func TestMovedStreamIsWhole(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/dispatch/stall.go
+++ b/internal/dispatch/stall.go
@@ -59,6 +59,8 @@
 	// examination since data arrived, or noReport.
 	made        int
 	forcedMoves int
+	// unreachable is set once the engine counts as lost.
+	unreachable bool
 	// failedProbes is the number of failed probes since data arrived or one succeeded.
 	failedProbes int
 }
@@ -170,7 +172,7 @@
 	reachable := sw.di.Reachable(ctx, sw.endpoint.Address) || sw.ctx.Err() != nil
 	if reachable {
 		sw.mu.Lock()
-		sw.failedProbes = 0
+		sw.failedProbes, sw.unreachable = 0, false
 		sw.mu.Unlock()
 	}
 	return reachable
@@ -184,7 +186,18 @@
 		return false
 	}
 	sw.failedProbes++
-	return sw.failedProbes >= stallProbes
+	sw.unreachable = sw.failedProbes >= stallProbes
+	return sw.unreachable
+}
+
+// foundUnreachable reports whether the engine counts as lost. A nil watch knows nothing.
+func (sw *stallWatch) foundUnreachable() bool {
+	if sw == nil {
+		return false
+	}
+	sw.mu.Lock()
+	defer sw.mu.Unlock()
+	return sw.unreachable
 }
 
 // madeProgress reports whether the engine has made events of the run since the
--- a/internal/dispatch/standby.go
+++ b/internal/dispatch/standby.go
@@ -1,7 +1,11 @@
 package dispatch
 
 import (
+	"context"
+	"time"
+
 	"filbertstall.example/filbertstall/internal/migration"
+	"filbertstall.example/filbertstall/internal/pause"
 	"filbertstall.example/filbertstall/internal/placement"
 	"filbertstall.example/filbertstall/internal/roster"
 )
@@ -57,6 +61,38 @@
 	}
 }
 
+// reportAge is the age that the report of an engine has at most.
+const reportAge = 600 * time.Millisecond
+
+// settle finds out whether the engine of an interrupted run still works on it, since a
+// connection that broke does not tell, and stops it there if that is possible.
+func (se *session) settle() migration.Fate {
+	di := se.di
+	switch {
+	case se.run != nil:
+		fate := di.Runs.Settle(se.ctx, se.run, se.standby.id())
+		if fate == migration.Unknown && di.Reachable != nil && !se.reachesEngine() {
+			return migration.Gone
+		}
+		return fate
+	case se.standby != nil && di.Progress != nil:
+		pause.For(se.ctx, di.Clock, reportAge)
+		ctx, cancel := context.WithTimeout(se.ctx, probeTimeout)
+		defer cancel()
+		if _, err := di.Progress(ctx, se.endpoint, se.ta.ID); err == nil {
+			return migration.Unknown
+		}
+	}
+	return migration.Gone
+}
+
+// reachesEngine probes the engine of the run with a new connection.
+func (se *session) reachesEngine() bool {
+	ctx, cancel := context.WithTimeout(se.ctx, probeTimeout)
+	defer cancel()
+	return se.di.Reachable(ctx, se.endpoint.Address)
+}
+
 // takeOver lets an interrupted run continue on the engine of its standby copy.
 // It returns false if there is no copy, or if the engine of the copy has
 // restarted, has been removed, is leaving, is in a zone that operators have
--- a/internal/dispatch/standby_test.go
+++ b/internal/dispatch/standby_test.go
@@ -194,6 +194,10 @@
 
 func (*oneMover) Remove(*migration.Run) {}
 
+func (*oneMover) Settle(context.Context, *migration.Run, string) migration.Fate {
+	return migration.Gone
+}
+
 func (rc *oneMover) MoveOne(_ context.Context, ru *migration.Run) bool {
 	rc.forcedMoves.Add(1)
 	if rc.fails {
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -24,6 +24,9 @@
 	// MoveOne moves one run off its engine, which stays, and reports whether the
 	// run was stopped there.
 	MoveOne(context.Context, *migration.Run) bool
+	// Settle finds out what became of a run whose stream broke off, and stops it if its
+	// engine still works on it.
+	Settle(ctx context.Context, ru *migration.Run, standby string) migration.Fate
 }
 
 // errVersionStopped means that the engine to which a run was moved has a version that
@@ -193,12 +196,12 @@
 // endsComplete reports whether io.EOF of the answer is the end of the stream.
 // If the end of the answer is not marked by its framing, but only by the end of
 // the connection, the stream counts as complete only if it ends after a
-// complete event and the run was not asked to stop for a move.
+// complete event and the engine cannot have closed it because it stopped the run.
 func (se *session) endsComplete() bool {
 	if se.answer.Framed {
 		return true
 	}
-	return len(se.pending) == se.completeBytes && (se.run == nil || !se.run.Stopping())
+	return len(se.pending) == se.completeBytes && (se.run == nil || se.run.Known().ProvesEnd())
 }
 
 // maxEventBytes limits one event. An endpoint that sends more without ending it sends no
@@ -274,6 +277,7 @@
 // continueStream resumes an interrupted stream where its run was moved to, or
 // from its standby copy. If neither is possible, it ends the stream.
 func (se *session) continueStream(cause error) {
+	unreachable := se.stall.foundUnreachable()
 	se.stopStallWatch()
 	se.answer.Close()
 	se.pending = se.pending[:se.completeBytes]
@@ -282,7 +286,7 @@
 		se.fail(cause)
 		return
 	}
-	mv, found := se.nextTarget()
+	mv, found := se.nextTarget(unreachable)
 	if !found {
 		se.fail(cause)
 		return
@@ -296,8 +300,9 @@
 	}
 }
 
-// nextTarget returns where an interrupted run continues.
-func (se *session) nextTarget() (migration.Moved, bool) {
+// nextTarget returns where an interrupted run continues. unreachable is set if its engine
+// was found to be.
+func (se *session) nextTarget(unreachable bool) (migration.Moved, bool) {
 	if se.run != nil {
 		if mv, moved := se.run.Await(se.ctx); moved {
 			return mv, true
@@ -306,6 +311,15 @@
 	if !se.mayTakeOver() {
 		return migration.Moved{}, false
 	}
+	if !unreachable {
+		switch se.settle() {
+		case migration.Continues:
+			return se.run.Await(se.ctx)
+		case migration.Unknown:
+			return migration.Moved{}, false
+		case migration.Gone:
+		}
+	}
 	mv, found := se.takeOver()
 	if found && se.run != nil {
 		se.run.SetEndpoint(mv.Target)
--- a/internal/migration/move.go
+++ b/internal/migration/move.go
@@ -121,13 +121,13 @@
 	co, took, err := mo.copyRun(ctx, en, mv, true)
 	if err != nil {
 		mo.logCopyFailure("move_failed", en, mv, took, err)
-		mo.resumeAtSource(en, mv, co.Handle)
+		mo.resumeAtSource(en, mv, co.Handle, resultOf(err))
 		return co.Handle != ""
 	}
 	mo.Log.Info().Str("event", "moved").Str("request", mv.run.ID).Str("endpoint", en.ID).Str("target", mv.target.ID).
 		Dur("took", took).Dur("since_notice", mo.Clock.Since(ev.notice)).Msg("migration: run stopped and copied to its target")
 	moved := Moved{From: en, Handle: co.Handle, Target: mv.target, Ticket: mv.ticket}
-	if !mv.run.finishFinalCopy(&moved) {
+	if !mv.run.finishFinalCopy(CarriedOut, &moved) {
 		mv.handle = co.Handle
 		mo.abandon(en, mv)
 		return false
@@ -154,17 +154,16 @@
 
 // resumeAtSource keeps a run at its own engine after a final copy failed. If
 // the run was stopped, kept is the handle of its memory, which the engine still
-// holds. If kept is empty, the run was not stopped, and only the copy at the
-// target is freed.
-func (mo *Mover) resumeAtSource(en roster.Endpoint, mv *move, kept string) {
+// holds. If kept is empty, only the copy at the target is freed.
+func (mo *Mover) resumeAtSource(en roster.Endpoint, mv *move, kept string, or OrderResult) {
 	if kept == "" {
-		mv.run.finishFinalCopy(nil)
+		mv.run.finishFinalCopy(or, nil)
 		mo.abandon(en, mv)
 		return
 	}
 	mv.ticket.End(placement.Done)
 	ti := mo.Tracker.Begin(en, placement.Demand{})
-	if !mv.run.finishFinalCopy(&Moved{From: en, Handle: kept, Target: en, Ticket: ti}) {
+	if !mv.run.finishFinalCopy(CarriedOut, &Moved{From: en, Handle: kept, Target: en, Ticket: ti}) {
 		ti.End(placement.Done)
 	}
 }
--- a/internal/migration/mover.go
+++ b/internal/migration/mover.go
@@ -26,8 +26,10 @@
 	// Copy copies the KV cache of a run to the engine at address target. A
 	// final copy stops the run first. An error together with a handle means
 	// that the run was stopped and that its engine still holds the memory. The
-	// error is ErrNoRoom if the target cannot take the copy, and ErrNoRun if
-	// the run has ended or has not started.
+	// error is ErrNoRoom if the target cannot take the copy, ErrNoRun if
+	// the run has ended or has not started, ErrBusy if it is being copied, ErrNotSent
+	// if the engine cannot be reached, and ErrRefused if the engine did not carry out
+	// the command for another reason. After any other error it may have.
 	Copy(ctx context.Context, source roster.Endpoint, run, target string, final bool) (Copied, error)
 	// Free asks source, the engine that made the copy, to drop a copy that will
 	// not be used.
@@ -49,6 +51,10 @@
 var (
 	ErrNoRoom = errors.New("migration: the target cannot take the copy")
 	ErrNoRun  = errors.New("migration: the engine has no such run")
+	// ErrBusy means that another copy of the run is being made.
+	ErrBusy    = errors.New("migration: the run is being copied")
+	ErrNotSent = errors.New("migration: the engine cannot be reached")
+	ErrRefused = errors.New("migration: the engine did not carry out the command")
 )
 
 const (
--- a/internal/migration/mover_test.go
+++ b/internal/migration/mover_test.go
@@ -100,7 +100,7 @@
 func await(ru *Run) (Moved, bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
-	for !ru.Stopping() && ctx.Err() == nil {
+	for ru.Known().mayOrder() && ctx.Err() == nil {
 		time.Sleep(time.Millisecond)
 	}
 	return ru.Await(ctx)
@@ -350,29 +350,36 @@
 	g.Expect(mv.From.ID).To(Equal("e1"))
 	g.Expect(mv.Target.ID).NotTo(Equal("e1"))
 	g.Expect(ha.engines.calls()).To(HaveLen(2), "one copy while the run goes on, and the final one")
-	g.Expect(other.Stopping()).To(BeFalse())
+	g.Expect(other.Known()).To(Equal(Running))
+}
+
+// finalCopyFails returns answers with which all copies but the final one succeed.
+func finalCopyFails(err error) func(run, target string, final bool) (Copied, error) {
+	return func(_, target string, final bool) (Copied, error) {
+		if final {
+			return Copied{}, err
+		}
+		return Copied{Handle: "h-" + target}, nil
+	}
 }
 
 func TestMoveOneFails(t *testing.T) {
 	for _, ca := range []struct {
 		name   string
 		answer func(run, target string, final bool) (Copied, error)
+		known  Knowledge
 	}{
-		{"the run has ended", func(string, string, bool) (Copied, error) { return Copied{}, ErrNoRun }},
-		{"no engine has room", func(string, string, bool) (Copied, error) { return Copied{}, ErrNoRoom }},
-		{"the final copy does not stop the run", func(_, target string, final bool) (Copied, error) {
-			if final {
-				return Copied{}, errors.New("lost")
-			}
-			return Copied{Handle: "h-" + target}, nil
-		}},
+		{"the run has ended", func(string, string, bool) (Copied, error) { return Copied{}, ErrNoRun }, Running},
+		{"no engine has room", func(string, string, bool) (Copied, error) { return Copied{}, ErrNoRoom }, Running},
+		{"the final copy does not stop the run", finalCopyFails(ErrBusy), Running},
+		{"the answer to the final copy is lost", finalCopyFails(errors.New("lost")), Running},
 	} {
 		t.Run(ca.name, func(t *testing.T) {
 			g := NewWithT(t)
 			ha := newHarness(ca.answer)
 			ru := ha.addRun("r1")
 			g.Expect(ha.MoveOne(t.Context(), ru)).To(BeFalse())
-			g.Expect(ru.Stopping()).To(BeFalse())
+			g.Expect(ru.Known()).To(Equal(ca.known))
 			g.Expect(ha.Tracker.Loads()).To(BeEmpty(), "the target's ticket is ended")
 		})
 	}
--- a/internal/migration/run.go
+++ b/internal/migration/run.go
@@ -42,19 +42,25 @@
 	// standby is the ID of the engine that keeps a standby copy of the run. It
 	// is empty if there is none.
 	standby string
-	// stopping is set when a final copy starts, and closed when the copy has
-	// ended. It becomes nil if the copy failed without stopping the run, or
-	// when Await has returned the move.
-	stopping chan struct{}
+	// known is what is known of the run at its engine, and before what was known before
+	// the order that is under way.
+	known, before Knowledge
+	// answered is closed when the order that is under way has ended. It is nil before
+	// the first order.
+	answered chan struct{}
 	moved    *Moved
 }
 
 // SetEndpoint sets the engine on which the run is. It must be called before
-// Mover.Add and after each takeover from a standby copy.
+// Mover.Add and after each takeover from a standby copy, and Run knows nothing of the run
+// there yet.
 func (ru *Run) SetEndpoint(en roster.Endpoint) {
 	ru.mu.Lock()
 	defer ru.mu.Unlock()
 	ru.endpoint = en
+	if ru.known.mayOrder() {
+		ru.known = Running
+	}
 }
 
 // Endpoint returns the engine on which the run is.
@@ -79,26 +85,26 @@
 	ru.events = events
 }
 
-// Stopping reports whether the run was asked to stop for a move.
-func (ru *Run) Stopping() bool {
+// Known returns what is known of the run at its engine.
+func (ru *Run) Known() Knowledge {
 	ru.mu.Lock()
 	defer ru.mu.Unlock()
-	return ru.stopping != nil
+	return ru.known
 }
 
 // Await waits for the end of a final copy in progress and returns where the run
 // continues, which is its own engine if the copy failed after stopping the run.
-// It returns false if no final copy was started, if it failed without stopping
-// the run, or if ctx or the run has ended.
+// It returns false if no final copy was started, if the run was not stopped as far as is
+// known, or if ctx or the run has ended.
 func (ru *Run) Await(ctx context.Context) (Moved, bool) {
 	ru.mu.Lock()
-	stopping := ru.stopping
+	answered := ru.answered
 	ru.mu.Unlock()
-	if stopping == nil {
+	if answered == nil {
 		return Moved{}, false
 	}
 	select {
-	case <-stopping:
+	case <-answered:
 	case <-ctx.Done():
 		return Moved{}, false
 	}
@@ -108,42 +114,54 @@
 		return Moved{}, false
 	}
 	mv := *ru.moved
-	ru.moved, ru.stopping = nil, nil
+	ru.moved, ru.known = nil, Running
 	return mv, true
 }
 
+// awaitAnswer waits for the end of the order that is under way and reports whether the
+// run is stopped.
+func (ru *Run) awaitAnswer(ctx context.Context) bool {
+	ru.mu.Lock()
+	answered := ru.answered
+	ru.mu.Unlock()
+	select {
+	case <-answered:
+	case <-ctx.Done():
+	}
+	return ru.Known() == Stopped
+}
+
 // Complete records a move that is made without copies, as in tests.
 func (ru *Run) Complete(mv Moved) {
 	if ru.beginFinalCopy() {
-		ru.finishFinalCopy(&mv)
+		ru.finishFinalCopy(CarriedOut, &mv)
 	}
 }
 
 // beginFinalCopy marks the start of a final copy. It returns false if the run
-// has ended or a final copy has already been started.
+// has ended, or has been or is being stopped by another one.
 func (ru *Run) beginFinalCopy() bool {
 	ru.mu.Lock()
 	defer ru.mu.Unlock()
-	if ru.ended || ru.stopping != nil {
+	if ru.ended || !ru.known.mayOrder() {
 		return false
 	}
-	ru.stopping = make(chan struct{})
+	ru.before, ru.known = ru.known, Ordered
+	ru.answered = make(chan struct{})
 	return true
 }
 
-// finishFinalCopy marks the end of a final copy. A nil mv means that the run
-// was not stopped. It returns whether the copy is still needed, which it is not
-// if the run has ended.
-func (ru *Run) finishFinalCopy(mv *Moved) bool {
+// finishFinalCopy marks the end of a final copy. mv is where the run goes on if the order
+// was carried out, and nil otherwise. It returns whether the copy is still needed, which
+// it is not if the run has ended.
+func (ru *Run) finishFinalCopy(or OrderResult, mv *Moved) bool {
 	ru.mu.Lock()
 	defer ru.mu.Unlock()
-	ru.moved = mv
-	close(ru.stopping)
-	if mv == nil {
-		ru.stopping = nil
-	} else {
+	ru.known, ru.moved = ru.before.after(or), mv
+	if mv != nil {
 		ru.endpoint = mv.Target
 	}
+	close(ru.answered)
 	return !ru.ended
 }
 
@@ -163,7 +181,7 @@
 	defer ru.mu.Unlock()
 	made := ru.events * max(ru.Engine.TokensPerEvent, 1)
 	return candidate{
-		run: ru, started: ru.events > 0, ended: ru.ended, stopping: ru.stopping != nil,
+		run: ru, started: ru.events > 0, ended: ru.ended, stopping: !ru.known.mayOrder(),
 		standby: ru.standby, tokens: ru.Prompt + made, remaining: max(ru.MaxOutput-made, 0),
 	}
 }
