migration: an order without an answer leaves doubt

An unframed stream that its engine closed because it had stopped the run for a move ended as complete, with a part of its events, if the answer to the order had been lost.

Cause: a final copy whose call failed was taken as one that was not carried out.

Change: the state doubtful; the end of a connection proves nothing there.

--- a/internal/migration/knowledge.go
+++ b/internal/migration/knowledge.go
@@ -12,6 +12,9 @@
 	Ordered
 	// Stopped means that the engine has stopped the run and kept its memory.
 	Stopped
+	// Doubtful means that an order to stop the run was sent, and that no answer tells
+	// whether it was carried out.
+	Doubtful
 )
 
 // OrderResult is what the answer to an order to stop a run proves.
@@ -27,7 +30,7 @@
 )
 
 // mayOrder reports whether the engine may be told to stop the run.
-func (kn Knowledge) mayOrder() bool { return kn == Running }
+func (kn Knowledge) mayOrder() bool { return kn == Running || kn == Doubtful }
 
 // after returns what is known after an order. An order that was not carried out leaves
 // what was known before it: an earlier one may have been.
@@ -35,8 +38,10 @@
 	switch or {
 	case CarriedOut:
 		return Stopped
-	default:
+	case NotCarriedOut:
 		return kn
+	default:
+		return Doubtful
 	}
 }
 
