upstream: calls without an ID keep to their own connections

Reported by other operators: a repeated refusal is taken for the answer to a later call; an answer that stops in its head is passed on as whole.

Cause (first report): control calls have no ID and shared kept connections with each other and with requests, so a repeated answer was taken for that about another run, or lost a request. Requests themselves are safe. The second report could not be shown: cuts after each byte at three readers.

--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -31,8 +31,16 @@
 	// MaxIdle is the maximum time for which a pooled connection may have been
 	// idle. Zero means that a new connection is opened.
 	MaxIdle time.Duration
+	// Once is set if the call is made over a connection of its own, which is not kept. A
+	// call without an ID whose answer must not be mistaken for another's is made so.
+	Once bool
 }
 
+// poolKey returns which idle connections the call may use. Those of calls without an ID
+// are kept apart: an endpoint may repeat their answers, and nothing tells them from the
+// answer to a later call.
+func (ca Call) poolKey() poolKey { return poolKey{address: ca.Address, hasID: ca.ID != ""} }
+
 // head returns the request line and the header fields.
 func (ca Call) head() []byte {
 	size := len(ca.Method) + len(ca.Target) + len(ca.Host) + 64
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -31,8 +31,8 @@
 // conn is one connection to an endpoint.
 type conn struct {
 	net.Conn
-	address string
-	rd      *bufio.Reader
+	key poolKey
+	rd  *bufio.Reader
 	// idleSince is the time at which the connection was returned to the pool.
 	// idleLimit is how long it may stay idle there.
 	idleSince  time.Time
@@ -40,8 +40,8 @@
 	writeState atomic.Int32
 }
 
-func newConn(nc net.Conn, address string) *conn {
-	return &conn{Conn: nc, address: address, rd: bufio.NewReaderSize(nc, readBufferBytes)}
+func newConn(nc net.Conn, ke poolKey) *conn {
+	return &conn{Conn: nc, key: ke, rd: bufio.NewReaderSize(nc, readBufferBytes)}
 }
 
 func (cn *conn) close() { _ = cn.Close() }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"net/http"
 	"strconv"
 	"strings"
 	"sync"
@@ -39,7 +40,13 @@
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 
 	mu   sync.Mutex
-	idle map[string][]*conn
+	idle map[poolKey][]*conn
+}
+
+// poolKey identifies the idle connections that a call may use.
+type poolKey struct {
+	address string
+	hasID   bool
 }
 
 // Do sends a call and reads the head of its answer. The context applies to the
@@ -90,6 +97,10 @@
 		an := newAnswer(po, cn, &head, ca.Method)
 		cn.idleLimit = idleLimitOf(an.Get("Keep-Alive"))
 		if an.Get(po.IDHeader) == ca.ID {
+			// A refusal of a call without an ID may be repeated where the answer to
+			// another such call is due.
+			isRefusal := ca.ID == "" && an.Status >= http.StatusMultipleChoices
+			an.keepAlive = an.keepAlive && !ca.Once && !isRefusal
 			return an, nil
 		}
 		// Only a reused connection can carry an answer to an earlier request. The
@@ -120,8 +131,8 @@
 }
 
 func (po *Pool) connect(ctx context.Context, ca Call) (cn *conn, reused bool, err error) {
-	if ca.MaxIdle > 0 {
-		if cn := po.take(ca.Address, ca.MaxIdle); cn != nil {
+	if ca.MaxIdle > 0 && !ca.Once {
+		if cn := po.take(ca.poolKey(), ca.MaxIdle); cn != nil {
 			return cn, true, nil
 		}
 	}
@@ -138,7 +149,7 @@
 		}
 		return nil, false, err
 	}
-	return newConn(nc, ca.Address), false, nil
+	return newConn(nc, ca.poolKey()), false, nil
 }
 
 // drop closes the idle connections to an address to which a new one timed out: they
@@ -146,10 +157,13 @@
 func (po *Pool) drop(address string) {
 	po.mu.Lock()
 	defer po.mu.Unlock()
-	for _, cn := range po.idle[address] {
-		cn.close()
+	for _, hasID := range []bool{false, true} {
+		ke := poolKey{address: address, hasID: hasID}
+		for _, cn := range po.idle[ke] {
+			cn.close()
+		}
+		delete(po.idle, ke)
 	}
-	delete(po.idle, address)
 }
 
 // Reachable reports whether a new connection to the address can be opened.
@@ -169,17 +183,17 @@
 
 // take returns the most recently used idle connection that is still usable, or
 // nil if there is none. Connections that are not usable are closed.
-func (po *Pool) take(address string, maxIdle time.Duration) *conn {
+func (po *Pool) take(ke poolKey, maxIdle time.Duration) *conn {
 	now := po.Clock.Now()
 	for {
 		po.mu.Lock()
-		list := po.idle[address]
+		list := po.idle[ke]
 		if len(list) == 0 {
 			po.mu.Unlock()
 			return nil
 		}
 		cn := list[len(list)-1]
-		po.idle[address] = list[:len(list)-1]
+		po.idle[ke] = list[:len(list)-1]
 		po.mu.Unlock()
 		if now.Sub(cn.idleSince) < min(maxIdle, cn.idleLimit) && cn.reusable() {
 			return cn
@@ -193,9 +207,9 @@
 	po.mu.Lock()
 	defer po.mu.Unlock()
 	if po.idle == nil {
-		po.idle = make(map[string][]*conn)
+		po.idle = make(map[poolKey][]*conn)
 	}
-	po.idle[cn.address] = append(po.idle[cn.address], cn)
+	po.idle[cn.key] = append(po.idle[cn.key], cn)
 }
 
 // Prune closes connections that have exceeded their idle limit. It must be called
@@ -205,7 +219,7 @@
 	now := po.Clock.Now()
 	po.mu.Lock()
 	defer po.mu.Unlock()
-	for address, list := range po.idle {
+	for ke, list := range po.idle {
 		kept := list[:0]
 		for _, cn := range list {
 			if now.Sub(cn.idleSince) < cn.idleLimit {
@@ -215,9 +229,9 @@
 			cn.close()
 		}
 		if len(kept) == 0 {
-			delete(po.idle, address)
+			delete(po.idle, ke)
 			continue
 		}
-		po.idle[address] = kept
+		po.idle[ke] = kept
 	}
 }
