backpressure: judge a permit again when its turn comes

Requests that waited for their turns at a limited replica were sent although it had asked for a pause meanwhile: 7 in a pause in which 2 are allowed.

Cause: a pause was looked at when a permit was given, not when it was used.

Change: Gate.Do refuses the call of a permit whose endpoint has asked for a pause since; the request chooses again. Orders that move runs are still sent.

--- a/internal/backpressure/gate.go
+++ b/internal/backpressure/gate.go
@@ -210,6 +210,23 @@
 	return max(pe.validFrom-ga.Registry.Boot.Now(), 0)
 }
 
+// judgeAgain returns an error if the call of a permit must not be sent any more: the permit
+// has expired, or the endpoint has asked for a pause while the call waited for its turn.
+func (ga *Gate) judgeAgain(pe *Permit) error {
+	now := ga.Registry.Boot.Now()
+	if now > pe.validUntil {
+		return &Error{Op: "send", Endpoint: pe.endpoint.ID, Kind: Expired}
+	}
+	if pe.control {
+		return nil
+	}
+	st, _ := ga.Registry.lookup(pe.endpoint)
+	if left := st.pausedUntil - now; left > 0 {
+		return &Error{Op: "send", Endpoint: pe.endpoint.ID, Kind: Paused, After: left}
+	}
+	return nil
+}
+
 // Do sends a call to the endpoint of a permit and reads the head of its answer. The
 // caller must close the answer. An error of type *Error means that the call was not
 // sent because of its permit.
@@ -217,8 +234,8 @@
 	if pe == nil || pe.used.Swap(true) {
 		return nil, &Error{Op: "send", Endpoint: ca.Address, Kind: NoPermit}
 	}
-	if ga.Registry.Boot.Now() > pe.validUntil {
-		return nil, &Error{Op: "send", Endpoint: pe.endpoint.ID, Kind: Expired}
+	if err := ga.judgeAgain(pe); err != nil {
+		return nil, err
 	}
 	an, err := ga.Transport.Do(ctx, ca)
 	if err != nil {
--- a/internal/backpressure/registry_test.go
+++ b/internal/backpressure/registry_test.go
@@ -278,3 +278,29 @@
 	ga.Registry.Observe(en, Signal{})
 	g.Expect(ga.Registry.IsBrittle(en)).To(BeFalse())
 }
+
+// A request that waited for its turn was sent although its endpoint had asked for a pause
+// meanwhile.
+func TestPauseHoldsForPermitsThatWait(t *testing.T) {
+	g := NewWithT(t)
+	boot := &boottime.Manual{}
+	boot.Advance(time.Hour)
+	ga := newGate(fixedTransport{an: &upstream.Answer{Status: 200}}, boot, Signal{})
+	en := roster.Endpoint{ID: "e1"}
+	waiting, err := ga.Request(context.Background(), en, Terms{})
+	g.Expect(err).NotTo(HaveOccurred())
+	order := ga.Order(en)
+	ga.Registry.Observe(en, Signal{RetryAfter: 3 * time.Second})
+	_, err = ga.Do(context.Background(), waiting, upstream.Call{})
+	var er *Error
+	g.Expect(errors.As(err, &er)).To(BeTrue(), "%v", err)
+	g.Expect(er.Kind).To(Equal(Paused))
+	g.Expect(er.After).To(Equal(3 * time.Second))
+	_, err = ga.Do(context.Background(), order, upstream.Call{})
+	g.Expect(err).NotTo(HaveOccurred(), "runs are moved off in a pause, too")
+	boot.Advance(3 * time.Second)
+	later, err := ga.Request(context.Background(), en, Terms{})
+	g.Expect(err).NotTo(HaveOccurred())
+	_, err = ga.Do(context.Background(), later, upstream.Call{})
+	g.Expect(err).NotTo(HaveOccurred())
+}
