concurrency: turns without an allocator spare full endpoints

Cause (fits the record, not proved by a log): an instance that can't ask the allocator in time takes turns, and a turn was free again at once after its request had been turned away. A lost report was repeated only after a second.

--- a/internal/concurrency/limiter.go
+++ b/internal/concurrency/limiter.go
@@ -40,12 +40,18 @@
 	// IsBrittle reports whether an endpoint says that it is brittle. Only then are requests
 	// in progress reported to its allocator. If it is nil, none are.
 	IsBrittle func(en roster.Endpoint) bool
+	// Running returns how many requests all instances have in progress at an endpoint, as
+	// far as this one knows. Without an allocator, none is sent beyond the endpoint's
+	// slots. If it is nil, that is not known.
+	Running func(id string) int
 
 	// skips has the instances that did not answer lately.
 	skips peer.Skips
 	mu    sync.Mutex
-	// alone has the endpoints with a request that was sent without asking.
-	alone map[key]bool
+	// alone has the endpoints with a request that was sent without asking, aloneAfter
+	// those that turned one away, and when the next may be sent.
+	alone      map[key]bool
+	aloneAfter map[key]time.Duration
 	// inProgress has the endpoints with requests of this instance, epochs the processes
 	// of the allocators.
 	inProgress map[key]*progress
@@ -124,19 +130,21 @@
 		return nil, turnPeriod - now%turnPeriod, false
 	}
 	ke := ar.key()
-	if !li.beginTurn(ke) {
+	if li.Running != nil && li.Running(en.ID) >= ar.Slots || !li.beginTurn(ke, now) {
 		return nil, retryAfter, false
 	}
-	return li.enter(en, grantor{}, func(bool) { li.endTurn(ke) }), 0, true
+	return li.enter(en, grantor{}, func(turnedAway bool) { li.endTurn(ke, turnedAway) }), 0, true
 }
 
-// beginTurn reports whether no request is in progress that was sent without asking.
-func (li *Limiter) beginTurn(ke key) bool {
+// beginTurn reports whether no request is in progress that was sent without asking, and
+// none was turned away lately.
+func (li *Limiter) beginTurn(ke key, now time.Duration) bool {
 	li.mu.Lock()
 	defer li.mu.Unlock()
-	if li.alone[ke] {
+	if li.alone[ke] || now < li.aloneAfter[ke] {
 		return false
 	}
+	delete(li.aloneAfter, ke)
 	if li.alone == nil {
 		li.alone = make(map[key]bool)
 	}
@@ -144,8 +152,15 @@
 	return true
 }
 
-func (li *Limiter) endTurn(ke key) {
+func (li *Limiter) endTurn(ke key, turnedAway bool) {
 	li.mu.Lock()
 	defer li.mu.Unlock()
 	delete(li.alone, ke)
+	if !turnedAway {
+		return
+	}
+	if li.aloneAfter == nil {
+		li.aloneAfter = make(map[key]time.Duration)
+	}
+	li.aloneAfter[ke] = li.Boot.Now() + roomStep
 }
--- a/internal/concurrency/report.go
+++ b/internal/concurrency/report.go
@@ -155,9 +155,11 @@
 			ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
 			defer cancel()
 			var re ReportReply
-			if err := li.Caller.Call(ctx, to.address, ServiceName+".Report", ar, &re); err == nil {
-				li.learnEpoch(to.name, re.Epoch)
+			if err := li.Caller.Call(ctx, to.address, ServiceName+".Report", ar, &re); err != nil {
+				li.repeatReport(holds)
+				return
 			}
+			li.learnEpoch(to.name, re.Epoch)
 		}()
 	}
 }
@@ -201,6 +203,18 @@
 	return due
 }
 
+// repeatReport makes a report that got lost due again.
+func (li *Limiter) repeatReport(holds []Hold) {
+	li.mu.Lock()
+	defer li.mu.Unlock()
+	for _, ho := range holds {
+		if pr := li.inProgress[key{endpoint: ho.Endpoint, started: ho.Started}]; pr != nil {
+			pr.reported.to = grantor{}
+			pr.turnedAway = pr.turnedAway || ho.TurnedAway
+		}
+	}
+}
+
 // learnEpoch records the epoch of an allocator's process. After a change, all requests
 // that have a slot of the process before are reported.
 func (li *Limiter) learnEpoch(instance string, epoch int64) {
--- a/internal/gateway/signals.go
+++ b/internal/gateway/signals.go
@@ -19,7 +19,7 @@
 	gw.suspectLimiter = ratelimit.Limiter{Peers: &gw.peers, Allocator: &gw.allocator, Caller: &peer.Client{}, Boot: gw.Boot}
 	gw.buildEngines()
 	gw.slots = concurrency.Allocator{Peers: &gw.peers, Boot: gw.Boot}
-	slots := &concurrency.Limiter{Peers: &gw.peers, Allocator: &gw.slots, Caller: &peer.Client{}, Boot: gw.Boot, IsBrittle: gw.signals.IsBrittle}
+	slots := &concurrency.Limiter{Peers: &gw.peers, Allocator: &gw.slots, Caller: &peer.Client{}, Boot: gw.Boot, IsBrittle: gw.signals.IsBrittle, Running: gw.tracker.Running}
 	gw.inProgress = slots
 	gw.gate = backpressure.Gate{Slots: slots, SlotsOf: gw.slotsOf, Transport: &gw.pool, Decode: gw.Adapter.Codec.Signal, Registry: &gw.signals, Limiter: &gw.limiter}
 	gw.tracker.Backpressure = &gw.signals
