concurrency: number the reports of requests in progress

Cause: reports are sent by goroutines of their own and had no order.

Change: process and sequence in each report; an older one is ignored.

--- a/internal/concurrency/allocator.go
+++ b/internal/concurrency/allocator.go
@@ -72,6 +72,9 @@
 type hold struct {
 	count int
 	until time.Duration
+	// process and sequence are those of the report.
+	process  int64
+	sequence uint64
 }
 
 // waiter is a request that waits for a slot.
--- a/internal/concurrency/limiter.go
+++ b/internal/concurrency/limiter.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -45,6 +46,8 @@
 	// slots. If it is nil, that is not known.
 	Running func(id string) int
 
+	// reports numbers the reports.
+	reports atomic.Uint64
 	// skips has the instances that did not answer lately.
 	skips peer.Skips
 	mu    sync.Mutex
--- a/internal/concurrency/report.go
+++ b/internal/concurrency/report.go
@@ -29,6 +29,10 @@
 // have no such method; their error is ignored.
 type ReportArgs struct {
 	Instance string
+	// Process tells the processes of the instance apart. Sequence rises with each report
+	// of a process: reports may overtake each other, and an older one counts no more.
+	Process  int64
+	Sequence uint64
 	Holds    []Hold
 }
 
@@ -45,13 +49,15 @@
 	defer al.mu.Unlock()
 	for _, ho := range ar.Holds {
 		en := al.endpoint(key{endpoint: ho.Endpoint, started: ho.Started})
-		if ho.TurnedAway {
-			en.holds[ar.Instance] = hold{count: ho.Count + 1, until: now + holdLifetime}
-			en.turnedAway(now)
+		before := en.holds[ar.Instance]
+		if before.process == ar.Process && before.sequence > ar.Sequence {
+			continue
 		}
-		en.holds[ar.Instance] = hold{count: ho.Count, until: now + holdLifetime}
-		if ho.Count == 0 {
-			delete(en.holds, ar.Instance)
+		next := hold{count: ho.Count, until: now + holdLifetime, process: ar.Process, sequence: ar.Sequence}
+		en.holds[ar.Instance] = next
+		if ho.TurnedAway {
+			// The request that was turned away is not in progress any more.
+			en.room, en.roomAt = en.inProgress(), now
 		}
 		al.grantWaiting(en)
 	}
@@ -146,7 +152,7 @@
 // there without their slots. It must be called several times a second.
 func (li *Limiter) Report() {
 	for to, holds := range li.dueReports() {
-		ar := ReportArgs{Instance: li.Peers.Self.Name, Holds: holds}
+		ar := ReportArgs{Instance: li.Peers.Self.Name, Process: li.Allocator.Epoch(), Sequence: li.reports.Add(1), Holds: holds}
 		if to.name == li.Peers.Self.Name {
 			li.learnEpoch(to.name, li.Allocator.Report(ar).Epoch)
 			continue
--- a/internal/concurrency/report_test.go
+++ b/internal/concurrency/report_test.go
@@ -209,3 +209,22 @@
 	g.Expect(fl.calls.Load()).To(BeZero())
 	g.Expect(fl.limiters[0].inProgress).To(BeEmpty())
 }
+
+// A report that was overtaken by a later one replaced it, so that requests which had begun
+// meanwhile were not counted.
+func TestOvertakenReportsDoNotCount(t *testing.T) {
+	g := NewWithT(t)
+	fl := newFleet(1)
+	al := fl.limiters[0].Allocator
+	report := func(process int64, sequence uint64, count int) {
+		al.Report(ReportArgs{Instance: "i9", Process: process, Sequence: sequence, Holds: []Hold{{Endpoint: endpoint1.ID, Count: count}}})
+	}
+	report(7, 2, 4)
+	report(7, 1, 1)
+	g.Expect(known(al, endpoint1)()).To(Equal(4))
+	report(7, 3, 0)
+	report(7, 2, 4)
+	g.Expect(known(al, endpoint1)()).To(BeZero())
+	report(8, 1, 2)
+	g.Expect(known(al, endpoint1)()).To(Equal(2), "another process begins anew")
+}
