dispatch: tell a request that a shutdown cut from one whose caller left

Callers of requests that were cut at the end of a shutdown were told that they had left (caller_gone), and so were the log and the metrics; nothing said when such a request came or was sent, so the hypotheses of docs/incidents/ shutdown-late-requests.md could not be told apart.

A request that is cut now has the reason stopping, a line shutdown_cut with the times at which it came and was sent, from the beginning of the shutdown, and what was known of its length then, and the count attempts{how=cut_by_shutdown}; filbertstall trace and losses know it. Requests are not refused yet (what internal/shutdown says is only logged), and the end of the shutdown is as before.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -12,6 +12,7 @@
 	"filbertstall.example/filbertstall/internal/reservation"
 	"filbertstall.example/filbertstall/internal/roster"
 	"filbertstall.example/filbertstall/internal/routing"
+	"filbertstall.example/filbertstall/internal/shutdown"
 	"filbertstall.example/filbertstall/internal/suspicion"
 	"filbertstall.example/filbertstall/internal/upstream"
 )
@@ -83,6 +84,7 @@
 		de.permit.Release()
 		return di.handleEndedBeforeSend(ctx, ta)
 	}
+	_ = di.judgeTime(ta) // logged only
 	if ju := di.judge(ta, en); ju.Verdict == suspicion.Refuse {
 		de.permit.Release()
 		return result{step: giveUp, refusal: suspectRefusal(ta, ju)}
@@ -97,6 +99,7 @@
 	ti.OnEnd(de.permit.Release)
 	di.recordSent(en)
 	sentAt := di.Clock.Now()
+	ta.sentAt = sentAt
 	an, err := di.Gate.Do(ctx, de.permit, di.Codec.Call(ta.Request, at))
 	if err != nil {
 		return di.handleSendError(ctx, ta, en, ti, sentAt, err)
@@ -125,7 +128,10 @@
 // before it was sent, as when the process was paused. Nobody waits for its answer.
 func (di *Dispatcher) handleEndedBeforeSend(ctx context.Context, ta *task) result {
 	er := refusal.New(refusal.DeadlinePassed, "the time of the request passed before it was sent")
-	if cause := context.Cause(ctx); cause != nil && !errors.Is(cause, context.DeadlineExceeded) {
+	switch cause := context.Cause(ctx); {
+	case shutdown.IsCause(cause):
+		er = di.stoppingRefusal(ta)
+	case cause != nil && !errors.Is(cause, context.DeadlineExceeded):
 		er = refusal.New(refusal.CallerGone, "the caller left before the request was sent")
 	}
 	er.Dispatched = ta.ran > 0
@@ -231,10 +237,15 @@
 	return errors.Is(context.Cause(ctx), context.DeadlineExceeded)
 }
 
-// endedRefusal returns the refusal of a request whose context ended: CallerGone
-// if the caller disconnected, or TimedOut if the deadline passed.
+// endedRefusal returns the refusal of a request that was sent and whose context ended:
+// Stopping if the instance cut it at the end of its shutdown, CallerGone if the caller
+// disconnected, or TimedOut if the deadline passed.
 func (di *Dispatcher) endedRefusal(ctx context.Context, ta *task, err error) *refusal.Error {
-	if context.Cause(ctx) != nil && !isTimeout(ctx) {
+	switch cause := context.Cause(ctx); {
+	case shutdown.IsCause(cause):
+		di.logCut(ta, 0)
+		return refusal.Wrap(refusal.Stopping, "the instance stopped before the answer was whole", err).WithDispatched()
+	case cause != nil && !isTimeout(ctx):
 		return refusal.Wrap(refusal.CallerGone, "the caller left", err).WithDispatched()
 	}
 	return refusal.Wrap(refusal.TimedOut, "no answer within "+requestTimeout(ta.route.Timeout, ta.CallerTimeout).String(), err)
--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -14,6 +14,7 @@
 	"filbertstall.example/filbertstall/internal/placement"
 	"filbertstall.example/filbertstall/internal/refusal"
 	"filbertstall.example/filbertstall/internal/roster"
+	"filbertstall.example/filbertstall/internal/shutdown"
 )
 
 const (
@@ -36,10 +37,21 @@
 )
 
 // chooseEndpoint returns a ready endpoint that the task has not tried yet and that
+// takes the request. If the instance shuts down meanwhile, the task waits only as long as
+// its answer can still be whole before the end.
+func (di *Dispatcher) chooseEndpoint(ctx context.Context, ta *task, dm placement.Demand) (destination, *refusal.Error) {
+	de, er := di.findEndpoint(ctx, ta, dm)
+	if er != nil && shutdown.IsCause(context.Cause(ctx)) {
+		er = di.stoppingRefusal(ta)
+	}
+	return de, er
+}
+
+// findEndpoint returns a ready endpoint that the task has not tried yet and that
 // takes the request. Before that, the task may wait for its turn, and for an engine that
 // the zone's allocator grants. If all endpoints are at their limits, the task waits for
 // one, if there is time.
-func (di *Dispatcher) chooseEndpoint(ctx context.Context, ta *task, dm placement.Demand) (destination, *refusal.Error) {
+func (di *Dispatcher) findEndpoint(ctx context.Context, ta *task, dm placement.Demand) (destination, *refusal.Error) {
 	usable, er := di.withoutCrashing(ta, di.Roster.View().Ready(ta.service.Name))
 	if er != nil {
 		return destination{}, er
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -16,6 +16,7 @@
 	"filbertstall.example/filbertstall/internal/refusal"
 	"filbertstall.example/filbertstall/internal/roster"
 	"filbertstall.example/filbertstall/internal/routing"
+	"filbertstall.example/filbertstall/internal/shutdown"
 	"filbertstall.example/filbertstall/internal/suspicion"
 )
 
@@ -58,10 +59,15 @@
 	// Memory limits the answers and events that are in memory. If it is nil, there is no
 	// common limit.
 	Memory *buffer.Budget
+	// Shutdown decides which requests are served while the instance shuts down. If it is
+	// nil, all are.
+	Shutdown *shutdown.Schedule
 	// Meter records metrics. If nil, none are recorded.
 	Meter *Meter
 
 	outputEstimator outputEstimator
+	// lengths has how long the answers of each route took.
+	lengths shutdown.Lengths
 	// crashProbes merges the probes of an endpoint that has lost several requests.
 	crashProbes singleflight.Group
 }
@@ -89,6 +95,10 @@
 	// credentials themselves.
 	passCredential bool
 	deadline       time.Time
+	// sentAt is when the last attempt was sent, and judged what was known then of an
+	// answer before the end of a shutdown.
+	sentAt time.Time
+	judged judgement
 	// ran is the number of attempts that an endpoint may have run.
 	ran int
 	// arrivals is the number of attempts that may have reached an endpoint,
--- a/internal/dispatch/forward.go
+++ b/internal/dispatch/forward.go
@@ -12,6 +12,7 @@
 	"filbertstall.example/filbertstall/internal/refusal"
 	"filbertstall.example/filbertstall/internal/roster"
 	"filbertstall.example/filbertstall/internal/routing"
+	"filbertstall.example/filbertstall/internal/shutdown"
 	"filbertstall.example/filbertstall/internal/upstream"
 )
 
@@ -50,7 +51,10 @@
 // that an endpoint may have run stays here, where its attempts are counted, and a
 // forwarded one is not forwarded again.
 func (di *Dispatcher) mayForward(ta *task) bool {
-	return di.Forwarder != nil && !ta.Forwarded && ta.ran == 0 && ta.arrivals == 0 && len(ta.forwards) < maxForwards && ta.remaining(di.Clock.Now()) > minAttemptTime
+	if di.Forwarder == nil || ta.Forwarded || ta.ran > 0 || ta.arrivals > 0 || len(ta.forwards) >= maxForwards {
+		return false
+	}
+	return ta.remaining(di.Clock.Now()) > minAttemptTime
 }
 
 // pathLost reports whether the task should be forwarded before an endpoint is tried.
@@ -74,11 +78,13 @@
 // forward lets another instance serve the task. It returns false if none took it.
 func (di *Dispatcher) forward(ctx context.Context, ta *task) (Reply, bool) {
 	for di.mayForward(ta) && ctx.Err() == nil {
+		sentAt := di.Clock.Now()
 		an, instance, err := di.Forwarder.Forward(ctx, ta.Request, ta.service.Name, ta.forwards, ta.remaining(di.Clock.Now()))
 		if instance == "" {
 			break
 		}
 		ta.markForwarded(instance)
+		ta.sentAt = sentAt
 		di.Meter.countAttempt("forwarded")
 		di.Log.Info().Str("event", "forwarded").Str("request", ta.ID).Str("to", instance).Dur("left", ta.remaining(di.Clock.Now())).AnErr("cause", err).
 			Msg("dispatch: no link to the endpoints; another instance serves the request")
@@ -114,12 +120,13 @@
 		return di.handleForwardRefused(ta, an)
 	}
 	if an.Status == http.StatusOK && ta.streams() {
-		return Reply{Status: an.Status, Headers: an.Headers, Events: &forwardedStream{di: di, ta: ta, answer: an}}, true
+		return Reply{Status: an.Status, Headers: an.Headers, Events: &forwardedStream{di: di, ta: ta, ctx: ctx, answer: an}}, true
 	}
 	body, err := di.readAll(an)
 	an.Close()
 	switch {
 	case err == nil:
+		di.recordLength(ta)
 		return Reply{Status: an.Status, Headers: an.Headers, Body: body}, true
 	case ctx.Err() != nil:
 		return di.refuse(ta.Request, di.endedRefusal(ctx, ta, err)), true
@@ -169,9 +176,11 @@
 type forwardedStream struct {
 	di     *Dispatcher
 	ta     *task
+	ctx    context.Context
 	answer *upstream.Answer
 	cancel context.CancelFunc
-	ended  bool
+	// whole is set once all events have been read.
+	whole bool
 }
 
 // Read implements io.Reader.
@@ -180,11 +189,15 @@
 	if err == nil {
 		return count, nil
 	}
-	fs.ended = true
 	if errors.Is(err, io.EOF) && fs.answer.Framed {
+		fs.whole = true
 		fs.di.Log.Info().Str("event", "delivered").Str("request", fs.ta.ID).Bool("forwarded", true).Dur("took", fs.di.Clock.Since(fs.ta.Arrived)).Msg("dispatch: forwarded stream delivered")
 		return count, io.EOF
 	}
+	if shutdown.IsCause(context.Cause(fs.ctx)) {
+		fs.di.logCut(fs.ta, 0)
+		return count, errStreamBroken
+	}
 	fs.di.Log.Info().Str("event", "stream_broken").Str("request", fs.ta.ID).Bool("forwarded", true).AnErr("cause", err).Msg("dispatch: forwarded stream interrupted")
 	fs.di.Meter.countAttempt("stream_broken")
 	return count, errStreamBroken
@@ -192,6 +205,9 @@
 
 // Close implements io.Closer. It cancels the request if the stream has not ended.
 func (fs *forwardedStream) Close() error {
+	if fs.whole {
+		fs.di.recordLength(fs.ta)
+	}
 	fs.answer.Close()
 	fs.cancel()
 	return nil
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -13,6 +13,7 @@
 	"filbertstall.example/filbertstall/internal/pause"
 	"filbertstall.example/filbertstall/internal/placement"
 	"filbertstall.example/filbertstall/internal/roster"
+	"filbertstall.example/filbertstall/internal/shutdown"
 	"filbertstall.example/filbertstall/internal/upstream"
 )
 
@@ -406,6 +407,11 @@
 		se.finish(placement.Lost, errStreamBroken)
 		return
 	}
+	if shutdown.IsCause(context.Cause(se.ctx)) {
+		se.di.logCut(se.ta, se.events)
+		se.finish(placement.Done, errStreamBroken)
+		return
+	}
 	se.di.Log.Info().Str("event", "stream_given_up").Str("request", se.ta.ID).Str("endpoint", se.endpoint.ID).
 		Int("events", se.events).AnErr("cause", context.Cause(se.ctx)).Msg("dispatch: caller disconnected or deadline passed; stream ended")
 	se.finish(placement.Done, errStreamBroken)
@@ -427,8 +433,11 @@
 }
 
 // Close implements io.Closer. It cancels the request if the stream has not
-// ended.
+// ended. It is called once the caller has all events that were read.
 func (se *session) Close() error {
+	if errors.Is(se.endErr, io.EOF) {
+		se.di.recordLength(se.ta)
+	}
 	se.cancel()
 	if se.endErr == nil {
 		se.fail(errStreamBroken)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -36,6 +36,7 @@
 	"filbertstall.example/filbertstall/internal/rollout"
 	"filbertstall.example/filbertstall/internal/roster"
 	"filbertstall.example/filbertstall/internal/routing"
+	"filbertstall.example/filbertstall/internal/shutdown"
 	"filbertstall.example/filbertstall/internal/snapshot"
 	"filbertstall.example/filbertstall/internal/suspicion"
 	"filbertstall.example/filbertstall/internal/upstream"
@@ -127,6 +128,7 @@
 	outliers       outlier.Detector
 	forwardPool    upstream.Pool
 	memory         memory
+	shutdown       shutdown.Schedule
 	ingress        ingress.Server
 	// forwards serves the requests that other instances forward.
 	forwards *ingress.Server
@@ -222,6 +224,7 @@
 	zones := gw.buildSpillover()
 	gw.moveOrder = loadshare.MoveOrder{Instance: se.Instance, Changes: gw.tracker.Changes}
 	gw.memory = divideMemory(se.MemoryBytes)
+	gw.shutdown = shutdown.Schedule{Clock: gw.Clock}
 	gw.pool = upstream.Pool{IDHeader: gw.Adapter.IDHeader, Clock: gw.Clock, Dial: gw.Dial}
 	gw.buildGate(se.member())
 	gw.buildOutliers()
@@ -244,7 +247,7 @@
 	di := &dispatch.Dispatcher{
 		State: &gw.state, Roster: &gw.roster, Tracker: &gw.tracker, Gate: &gw.gate, Codec: gw.Adapter.Codec, Clock: gw.Clock, Log: gw.Log,
 		Budget: se.budget(gw.Clock, gw.instanceCount), MaxAges: gw.maxAges,
-		Runs: mover, Suspects: gw.suspects, Turns: turns{limiter: &gw.suspectLimiter}, Reachable: gw.pool.Reachable, Progress: engines.Progress, Paths: &gw.paths, Memory: gw.memory.bodies, Meter: &dispatch.Meter{Scope: gw.metrics.Scope},
+		Runs: mover, Suspects: gw.suspects, Turns: turns{limiter: &gw.suspectLimiter}, Reachable: gw.pool.Reachable, Progress: engines.Progress, Paths: &gw.paths, Memory: gw.memory.bodies, Shutdown: &gw.shutdown, Meter: &dispatch.Meter{Scope: gw.metrics.Scope},
 	}
 	if gw.rollouts != nil {
 		di.Rollouts = gw.rollouts
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -11,8 +11,13 @@
 	// after the instance reports that it is not ready, so that the platform can
 	// notice it. The time is limited to a third of the shutdown timeout.
 	notReadyDelay = 2600 * time.Millisecond
-	// shutdownMargin is kept free between the end of the shutdown and SIGKILL.
+	// shutdownMargin is kept free between the time at which requests in flight are cut
+	// and SIGKILL.
 	shutdownMargin = 500 * time.Millisecond
+	// exitMargin is the part of shutdownMargin that is kept free for the exit of the
+	// process. In the part before it, the answers of the requests that were cut are
+	// written.
+	exitMargin = 150 * time.Millisecond
 	// defaultShutdownTimeout applies if the platform states no shutdown timeout.
 	defaultShutdownTimeout = 8 * time.Second
 )
@@ -27,17 +32,20 @@
 	}
 	gw.Log.Info().Str("event", "stopping").Int("open", gw.ingress.InFlight()).Msg("gateway: graceful shutdown begins")
 	gw.ready.stopping.Store(true)
+	gw.shutdown.Begin(start.Add(bound - shutdownMargin))
 	gw.ingress.AnnounceShutdown()
 	if gw.forwards != nil {
 		gw.forwards.AnnounceShutdown()
 	}
 	gw.Clock.Sleep(min(notReadyDelay, bound/3))
-	ctx, cancel := context.WithTimeout(context.Background(), bound-shutdownMargin-gw.Clock.Since(start))
-	defer cancel()
+	serving, cancelServing := context.WithTimeout(context.Background(), bound-shutdownMargin-gw.Clock.Since(start))
+	defer cancelServing()
+	writing, cancelWriting := context.WithTimeout(context.Background(), bound-exitMargin-gw.Clock.Since(start))
+	defer cancelWriting()
 	var wg sync.WaitGroup
-	wg.Go(func() { gw.ingress.Stop(ctx) })
+	wg.Go(func() { gw.ingress.Stop(serving, writing) })
 	if gw.forwards != nil {
-		wg.Go(func() { gw.forwards.Stop(ctx) })
+		wg.Go(func() { gw.forwards.Stop(serving, writing) })
 	}
 	wg.Wait()
 	gw.Log.Info().Str("event", "stopped").Dur("took", gw.Clock.Since(start)).Msg("gateway: graceful shutdown ended")
--- a/internal/ingress/doc.go
+++ b/internal/ingress/doc.go
@@ -7,5 +7,5 @@
 //	se := &ingress.Server{Listener: ln, Codec: codec, Dispatcher: di, Hangups: wa, Clock: clock}
 //	se.Prepare()
 //	err := se.Run(ctx)   // a controller.Controller
-//	se.Stop(ctx)         // closes the listener, then waits for requests in flight
+//	se.Stop(serving, writing) // closes the listener, then waits for requests in flight
 package ingress
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -21,6 +21,7 @@
 	"filbertstall.example/filbertstall/internal/hangup"
 	"filbertstall.example/filbertstall/internal/readahead"
 	"filbertstall.example/filbertstall/internal/refusal"
+	"filbertstall.example/filbertstall/internal/shutdown"
 	"filbertstall.example/filbertstall/internal/upstream"
 	"filbertstall.example/filbertstall/internal/writetimeout"
 )
@@ -107,28 +108,27 @@
 	return err
 }
 
-// errShutdownTimeout is the cancellation cause of requests that are still in
-// flight when the shutdown timeout expires.
-var errShutdownTimeout = errors.New("ingress: request canceled by the shutdown of the instance")
-
 // AnnounceShutdown makes all further answers carry Connection: close, so that
 // callers reconnect to another instance.
 func (se *Server) AnnounceShutdown() { se.stopping.Store(true) }
 
 // Stop closes the listener and idle connections and waits for requests in
-// flight. It cancels those that remain when ctx ends.
-func (se *Server) Stop(ctx context.Context) {
+// flight. When serving ends, it cancels those that remain, and waits until their
+// answers are written or writing ends.
+func (se *Server) Stop(serving, writing context.Context) {
 	se.stopping.Store(true)
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		_ = se.server.ShutdownWithContext(ctx)
+		_ = se.server.ShutdownWithContext(writing)
 	}()
-	<-done
-	if inFlight := se.inFlight.Load(); inFlight > 0 {
-		se.Log.Warn().Str("event", "stop_cuts").Int64("open", inFlight).Msg("ingress: shutdown timeout expired, canceling the requests in flight")
+	select {
+	case <-serving.Done():
+		if inFlight := se.inFlight.Load(); inFlight > 0 {
+			se.Log.Warn().Str("event", "stop_cuts").Int64("open", inFlight).Msg("ingress: shutdown timeout expired, canceling the requests in flight")
+		}
+		se.cancelAll(shutdown.ErrEnded)
 	}
-	se.cancelAll(errShutdownTimeout)
 }
 
 // InFlight returns the number of requests that are being served.
--- a/internal/ingress/server_test.go
+++ b/internal/ingress/server_test.go
@@ -346,7 +346,7 @@
 		defer close(stopped)
 		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 		defer cancel()
-		se.Stop(ctx)
+		se.Stop(ctx, ctx)
 	}()
 	close(release)
 	var re result
@@ -448,7 +448,7 @@
 	time.Sleep(50 * time.Millisecond)
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
-	se.Stop(ctx)
+	se.Stop(ctx, ctx)
 	close(stopped)
 	wg.Wait()
 	cut := 0
--- a/internal/refusal/refusal.go
+++ b/internal/refusal/refusal.go
@@ -117,7 +117,7 @@
 	DeadlinePassed:     {http.StatusGatewayTimeout, NotRun, time.Second, "The deadline passed before the request was sent: in the queue, or just after it was recorded."},
 	CallerGone:         {http.StatusRequestTimeout, NotRun, time.Second, "The caller hung up in the queue, before a grant."},
 	CrashSuspect:       {http.StatusUnprocessableEntity, Failed, 0, "Endpoints that ran the same request before crashed."},
-	Stopping:           {http.StatusServiceUnavailable, NotRun, time.Second, "Refused on arrival at an instance that stops."},
+	Stopping:           {http.StatusServiceUnavailable, NotRun, time.Second, "Refused before it was sent, by an instance that stops."},
 	EndpointRefused:    {http.StatusServiceUnavailable, NotRun, time.Second, "The connection was never made, or the endpoint says that it did not begin."},
 	EndpointLost:       {http.StatusBadGateway, Unknown, time.Second, "The request was sent and the answer did not come whole."},
 	EndpointFailed:     {http.StatusBadGateway, Failed, time.Second, "The endpoint answered that it failed."},
--- /dev/null
+++ b/internal/shutdown/doc.go
@@ -0,0 +1,24 @@
+// Package shutdown decides which requests an instance still serves while it shuts down.
+//
+// A shutdown has a fixed end, at which all requests are cut. A request that comes
+// meanwhile, or that still waits for an endpoint, is passed on only if its answer will
+// be whole before the end: because its deadline is earlier, or because the recent
+// answers of its route took less than the time left. All others are refused at once, as
+// not run, and can be served by another instance.
+//
+// The package needs no network and has no state but the end of the shutdown and, in
+// Lengths, how long the answers of each route took.
+//
+// # Usage
+//
+//	sd := &shutdown.Schedule{Clock: clock}
+//	lengths.Record("study-guide", 6*time.Second) // after each whole answer
+//	sd.Begin(end)                                // on SIGTERM
+//
+//	re := shutdown.Request{Deadline: deadline, Length: lengths.Longest("study-guide")}
+//	ju := sd.Judge(re)                           // when it arrives, and before it is sent
+//	if !ju.Takes { ... }                         // refuse it
+//
+//	ctx, cancel := sd.WhileWaiting(ctx, re)      // for the time that it waits
+//	defer cancel()
+package shutdown
--- /dev/null
+++ b/internal/shutdown/schedule_test.go
@@ -0,0 +1,107 @@
+package shutdown
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/gomega"
+)
+
+const grace = 7500 * time.Millisecond
+
+// Requests that could not end before the end of a shutdown were passed on and cut.
+func TestJudge(t *testing.T) {
+	for _, ca := range []struct {
+		name     string
+		after    time.Duration // since the beginning
+		deadline time.Duration // from then on
+		length   time.Duration
+		takes    bool
+	}{
+		{"deadline before the end", 0, 6 * time.Second, 0, true},
+		{"deadline at the end", 6 * time.Second, 1500 * time.Millisecond, 0, true},
+		{"deadline after the end", 6 * time.Second, 1600 * time.Millisecond, 0, false},
+		{"length not known", 0, 39 * time.Second, 0, false},
+		{"length fits", 0, 39 * time.Second, 6 * time.Second, true},
+		{"length fits without its reserve", 0, 39 * time.Second, 7 * time.Second, false},
+		{"length fitted before", 3 * time.Second, 39 * time.Second, 6 * time.Second, false},
+		{"short answer late", 7 * time.Second, 39 * time.Second, 300 * time.Millisecond, true},
+		{"deadline before the end, length beyond it", 0, 6 * time.Second, 9 * time.Second, true},
+		{"at the end", grace, time.Second, time.Millisecond, false},
+		{"after the end", grace + time.Second, 0, time.Millisecond, false},
+	} {
+		t.Run(ca.name, func(t *testing.T) {
+			g := NewWithT(t)
+			clock := clockwork.NewFakeClock()
+			sd := &Schedule{Clock: clock}
+			request := func() Request {
+				return Request{Deadline: clock.Now().Add(ca.deadline), Length: ca.length}
+			}
+			g.Expect(sd.Judge(request())).To(Equal(Judgement{Takes: true}))
+			sd.Begin(clock.Now().Add(grace))
+			clock.Advance(ca.after)
+			g.Expect(sd.Judge(request())).To(Equal(Judgement{Takes: ca.takes, Begun: true, Left: grace - ca.after}))
+		})
+	}
+}
+
+// Requests that waited for an endpoint when a shutdown began were sent when their turn
+// came, however late that was.
+func TestWhileWaiting(t *testing.T) {
+	g := NewWithT(t)
+	clock := clockwork.NewFakeClock()
+	sd := &Schedule{Clock: clock}
+	wait := func(length time.Duration) context.Context {
+		ctx, cancel := sd.WhileWaiting(context.Background(), Request{Deadline: clock.Now().Add(time.Minute), Length: length})
+		t.Cleanup(cancel)
+		return ctx
+	}
+	short, long, unknown := wait(2*time.Second), wait(7*time.Second), wait(0)
+	clock.Advance(10 * time.Second)
+	g.Expect(short.Err()).NotTo(HaveOccurred())
+	sd.Begin(clock.Now().Add(grace))
+	g.Expect(IsCause(context.Cause(long))).To(BeTrue())
+	g.Expect(IsCause(context.Cause(unknown))).To(BeTrue())
+	later := wait(2 * time.Second)
+	clock.Advance(4900 * time.Millisecond)
+	g.Expect(short.Err()).NotTo(HaveOccurred())
+	clock.Advance(200 * time.Millisecond)
+	g.Eventually(short.Done(), "5s").Should(BeClosed())
+	g.Eventually(later.Done(), "5s").Should(BeClosed())
+	g.Expect(IsCause(context.Cause(short))).To(BeTrue())
+	g.Expect(IsCause(context.Cause(wait(2 * time.Second)))).To(BeTrue())
+}
+
+func TestWaitsAreForgotten(t *testing.T) {
+	g := NewWithT(t)
+	sd := &Schedule{Clock: clockwork.NewFakeClock()}
+	ctx, cancel := sd.WhileWaiting(context.Background(), Request{})
+	cancel()
+	g.Expect(sd.waits).To(BeEmpty())
+	g.Expect(IsCause(context.Cause(ctx))).To(BeFalse())
+	sd.Begin(sd.Clock.Now().Add(grace))
+	g.Expect(IsCause(context.Cause(ctx))).To(BeFalse())
+}
+
+func TestLengths(t *testing.T) {
+	g := NewWithT(t)
+	var le Lengths
+	record := func(count int, took time.Duration) {
+		for range count {
+			le.Record("r", took)
+		}
+	}
+	record(spanAnswers-1, time.Second)
+	g.Expect(le.Longest("r")).To(BeZero())
+	record(1, 5*time.Second)
+	g.Expect(le.Longest("r")).To(Equal(5 * time.Second))
+	record(1, 6*time.Second)
+	g.Expect(le.Longest("r")).To(Equal(6 * time.Second))
+	record(spanAnswers-1, time.Second)
+	g.Expect(le.Longest("r")).To(Equal(6 * time.Second))
+	record(spanAnswers, time.Second)
+	g.Expect(le.Longest("r")).To(Equal(time.Second))
+	g.Expect(le.Longest("other")).To(BeZero())
+}
--- a/internal/trace/loss.go
+++ b/internal/trace/loss.go
@@ -29,6 +29,9 @@
 	EndingPathInterrupted Ending = "path_cut"
 	// EndingCallerGone means that the caller disconnected or its timeout expired.
 	EndingCallerGone Ending = "caller_gone"
+	// EndingShutdown means that the instance cut the generation at the end of its
+	// shutdown.
+	EndingShutdown Ending = "cut_by_shutdown"
 	// EndingInstanceRestarted means that the instance restarted during the
 	// generation.
 	EndingInstanceRestarted Ending = "instance_ended"
@@ -137,6 +140,8 @@
 		}
 	case "stream_given_up":
 		ge.ending = EndingCallerGone
+	case "shutdown_cut":
+		ge.ending = EndingShutdown
 	case "refused":
 		ge.ending = Ending(RefusedPrefix + li.Reason)
 	default:
--- a/internal/trace/loss_test.go
+++ b/internal/trace/loss_test.go
@@ -27,6 +27,8 @@
 {"instance":"i1","event":"stream_broken","request":"cut","endpoint":"e9","cause":"read: connection reset by peer","time":3500}
 {"instance":"i1","event":"placed","request":"given up","endpoint":"e9","zone":"b","time":1000}
 {"instance":"i1","event":"stream_given_up","request":"given up","endpoint":"e9","time":9500}
+{"instance":"i1","event":"placed","request":"cut by a stop","endpoint":"e9","zone":"b","time":1000}
+{"instance":"i1","event":"shutdown_cut","request":"cut by a stop","events":4,"time":9500}
 {"instance":"i1","event":"placed","request":"refused","endpoint":"e9","zone":"b","time":1000}
 {"instance":"i1","event":"refused","request":"refused","reason":"endpoint_lost","time":1500}
 {"instance":"i1","event":"refused","request":"a call","reason":"timed_out","time":1500}
@@ -42,6 +44,7 @@
 	g.Expect(rows).To(Equal([]Row{
 		{Ending: EndingEngineLost, Count: 2, Example: "lost"},
 		{Ending: EndingCallerGone, Count: 1, Example: "given up"},
+		{Ending: EndingShutdown, Count: 1, Events: 4, Example: "cut by a stop"},
 		{Ending: EndingDelivered, Count: 1, Events: 7, Example: "delivered"},
 		{Ending: EndingPaused, Count: 1, Events: 7, Example: "paused"},
 		{Ending: EndingEngineDrained, Count: 1, Events: 5, Example: "left"},
--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -55,6 +55,10 @@
 	// in milliseconds.
 	Allocator string  `json:"allocator"`
 	Waited    float64 `json:"waited"`
+	// Arrived and Sent are when a request that a shutdown cut came and was sent to an
+	// endpoint, in milliseconds since the beginning of the shutdown.
+	Arrived float64 `json:"arrived"`
+	Sent    float64 `json:"sent"`
 	// Rate is a rate limit in requests per second.
 	Rate    float64 `json:"rate"`
 	Message string  `json:"message"`
@@ -194,6 +198,8 @@
 			return fmt.Sprintf("The instance refused it: %s (%s); %s.", li.Reason, li.Outcome, li.Detail)
 		case "stream_broken":
 			return "The stream broke at " + li.Endpoint + ": " + li.Cause + tr.breakDetail(li) + tr.forwardDetail() + "."
+		case "shutdown_cut":
+			return fmt.Sprintf("The instance stopped before the answer was whole. The request came %+.0f ms and was sent %+.0f ms after the beginning of the shutdown.", li.Arrived, li.Sent)
 		case "stream_given_up":
 			return "The caller left, or its time was over, while the stream ran at " + li.Endpoint + "."
 		}
--- a/internal/trace/trace_test.go
+++ b/internal/trace/trace_test.go
@@ -113,3 +113,14 @@
 	g.Expect(tr.Lines[1].String()).To(HaveSuffix("edge-1 forwarded to=edge-2"))
 	g.Expect(tr.Cause()).To(Equal("The stream broke at e1: unexpected EOF; edge-1 had forwarded the request to edge-2."))
 }
+
+// A stream that a shutdown cut was reported as one whose caller had left.
+func TestTraceOfStreamCutByShutdown(t *testing.T) {
+	g := NewWithT(t)
+	tr, err := Read(strings.NewReader(`{"instance":"edge-1","event":"stopping","time":1000}
+{"instance":"edge-1","event":"shutdown_cut","request":"r6","arrived":-500,"sent":1200.4,"time":8500}
+`), "r6")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(tr.Lines).To(HaveLen(1))
+	g.Expect(tr.Cause()).To(ContainSubstring("came -500 ms and was sent +1200 ms after"))
+}
