dispatch: take no request that can't be answered before a shutdown ends

Callers of streams and plain requests that reached an instance in a planned stop saw them passed on and cut at the end of the grace time, also those that may not be repeated: a new request was served whatever time was left.

A run that goes on at another engine is no new request.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -84,7 +84,11 @@
 		de.permit.Release()
 		return di.handleEndedBeforeSend(ctx, ta)
 	}
-	_ = di.judgeTime(ta) // logged only
+	if er := di.judgeTime(ta); er != nil {
+		de.permit.Release()
+		de.grant.Settle()
+		return result{step: giveUp, refusal: er}
+	}
 	if ju := di.judge(ta, en); ju.Verdict == suspicion.Refuse {
 		de.permit.Release()
 		return result{step: giveUp, refusal: suspectRefusal(ta, ju)}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -135,6 +135,9 @@
 	if err != nil {
 		return di.refuse(re, err)
 	}
+	if er := di.judgeTime(ta); er != nil {
+		return di.refuse(re, er)
+	}
 	if !re.Forwarded {
 		// A forwarded request counts at the instance that got it from the caller.
 		di.Budget.Arrived(ta.service.Name)
