ingress: write the last answers before the process exits

Callers whose plain requests were in flight at the end of a shutdown saw the end of the connection in some runs and a 502 in others: the server stopped waiting at the same moment at which it canceled the requests, and the process exited while their handlers still ran.

The time of the cut is as before (7.5 s of 8).

--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -123,11 +123,13 @@
 		_ = se.server.ShutdownWithContext(writing)
 	}()
 	select {
+	case <-done:
 	case <-serving.Done():
 		if inFlight := se.inFlight.Load(); inFlight > 0 {
 			se.Log.Warn().Str("event", "stop_cuts").Int64("open", inFlight).Msg("ingress: shutdown timeout expired, canceling the requests in flight")
 		}
 		se.cancelAll(shutdown.ErrEnded)
+		<-done
 	}
 }
 
