shutdown: unfinished answers tell the length of a route, refused streams don't

Callers would have seen streams and calls passed on and cut in a shutdown where the length of their route was taken to be shorter than it was: answers of 4xx to streams counted as its answers, and answers that timed out, broke off or were still in progress did not count.

Lengths now knows the requests in progress; the oldest of them, and those that ended without a whole answer, raise the longest length, and only whole answers with success make a length known.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -102,8 +102,8 @@
 	de.grant.Settle()
 	ti.OnEnd(de.permit.Release)
 	di.recordSent(en)
-	sentAt := di.Clock.Now()
-	ta.sentAt = sentAt
+	di.beginAnswer(ta)
+	sentAt := ta.sentAt
 	an, err := di.Gate.Do(ctx, de.permit, di.Codec.Call(ta.Request, at))
 	if err != nil {
 		return di.handleSendError(ctx, ta, en, ti, sentAt, err)
--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -61,7 +61,6 @@
 			ou = placement.Failed
 		} else {
 			re.ticket.Answered()
-			di.recordLength(ta)
 		}
 		re.ticket.End(ou)
 		di.recordAnswer(ta, en, re.sentAt, ou == placement.Failed)
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -95,9 +95,10 @@
 	// credentials themselves.
 	passCredential bool
 	deadline       time.Time
-	// sentAt is when the last attempt was sent, and judged what was known then of an
-	// answer before the end of a shutdown.
+	// sentAt is when the last attempt was sent, answer its answer in progress, and judged
+	// what was known then of an answer before the end of a shutdown.
 	sentAt time.Time
+	answer *shutdown.Answer
 	judged judgement
 	// ran is the number of attempts that an endpoint may have run.
 	ran int
@@ -142,7 +143,14 @@
 		// A forwarded request counts at the instance that got it from the caller.
 		di.Budget.Arrived(ta.service.Name)
 	}
-	if ta.route.RetryClass == routing.Streaming {
+	rp := di.answer(ctx, ta)
+	di.endAnswer(ta, rp)
+	return rp
+}
+
+// answer answers a task with a stream or a buffered answer.
+func (di *Dispatcher) answer(ctx context.Context, ta *task) Reply {
+	if ta.streams() {
 		return di.serveStream(ctx, ta)
 	}
 	return di.serveBuffered(ctx, ta)
--- a/internal/dispatch/forward.go
+++ b/internal/dispatch/forward.go
@@ -78,13 +78,12 @@
 // forward lets another instance serve the task. It returns false if none took it.
 func (di *Dispatcher) forward(ctx context.Context, ta *task) (Reply, bool) {
 	for di.mayForward(ta) && ctx.Err() == nil {
-		sentAt := di.Clock.Now()
+		di.beginAnswer(ta)
 		an, instance, err := di.Forwarder.Forward(ctx, ta.Request, ta.service.Name, ta.forwards, ta.remaining(di.Clock.Now()))
 		if instance == "" {
 			break
 		}
 		ta.markForwarded(instance)
-		ta.sentAt = sentAt
 		di.Meter.countAttempt("forwarded")
 		di.Log.Info().Str("event", "forwarded").Str("request", ta.ID).Str("to", instance).Dur("left", ta.remaining(di.Clock.Now())).AnErr("cause", err).
 			Msg("dispatch: no link to the endpoints; another instance serves the request")
@@ -126,7 +125,6 @@
 	an.Close()
 	switch {
 	case err == nil:
-		di.recordLength(ta)
 		return Reply{Status: an.Status, Headers: an.Headers, Body: body}, true
 	case ctx.Err() != nil:
 		return di.refuse(ta.Request, di.endedRefusal(ctx, ta, err)), true
@@ -205,9 +203,7 @@
 
 // Close implements io.Closer. It cancels the request if the stream has not ended.
 func (fs *forwardedStream) Close() error {
-	if fs.whole {
-		fs.di.recordLength(fs.ta)
-	}
+	fs.ta.answer.End(fs.di.Clock.Now(), fs.whole)
 	fs.answer.Close()
 	fs.cancel()
 	return nil
--- a/internal/dispatch/shutdown.go
+++ b/internal/dispatch/shutdown.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"net/http"
 	"time"
 
 	"filbertstall.example/filbertstall/internal/refusal"
@@ -20,7 +21,7 @@
 
 // shutdownRequest describes a task to the schedule of the shutdown.
 func (di *Dispatcher) shutdownRequest(ta *task) shutdown.Request {
-	return shutdown.Request{Deadline: ta.deadline, Length: di.lengths.Longest(ta.route.Name)}
+	return shutdown.Request{Deadline: ta.deadline, Length: di.lengths.Longest(ta.route.Name, di.Clock.Now())}
 }
 
 // judgeTime returns a refusal if the instance shuts down and the answer to a request that
@@ -43,9 +44,19 @@
 	return er
 }
 
-// recordLength records how long a whole answer took.
-func (di *Dispatcher) recordLength(ta *task) {
-	di.lengths.Record(ta.route.Name, di.Clock.Since(ta.sentAt))
+// beginAnswer records that the task is sent to an endpoint or another instance now.
+func (di *Dispatcher) beginAnswer(ta *task) {
+	now := di.Clock.Now()
+	ta.answer.End(now, false)
+	ta.sentAt, ta.answer = now, di.lengths.Begin(ta.route.Name, now)
+}
+
+// endAnswer records the end of the answer to a task, unless it is a stream that goes on.
+func (di *Dispatcher) endAnswer(ta *task, rp Reply) {
+	if rp.Events != nil {
+		return
+	}
+	ta.answer.End(di.Clock.Now(), rp.Refusal == nil && rp.Status < http.StatusMultipleChoices && !ta.streams())
 }
 
 // logCut logs and counts a request that was cut at the end of the shutdown: when it came
--- a/internal/dispatch/shutdown_test.go
+++ b/internal/dispatch/shutdown_test.go
@@ -113,7 +113,7 @@
 	g := NewWithT(t)
 	ha := newHarness(t, succeeds)
 	begin := ha.shutsDown()
-	for ha.lengths.Longest("") == 0 {
+	for ha.lengths.Longest("", ha.Clock.Now()) == 0 {
 		g.Expect(ha.send("/post/").Status).To(Equal(http.StatusOK))
 	}
 	begin()
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -435,9 +435,7 @@
 // Close implements io.Closer. It cancels the request if the stream has not
 // ended. It is called once the caller has all events that were read.
 func (se *session) Close() error {
-	if errors.Is(se.endErr, io.EOF) {
-		se.di.recordLength(se.ta)
-	}
+	se.ta.answer.End(se.di.Clock.Now(), errors.Is(se.endErr, io.EOF))
 	se.cancel()
 	if se.endErr == nil {
 		se.fail(errStreamBroken)
--- a/internal/shutdown/doc.go
+++ b/internal/shutdown/doc.go
@@ -3,7 +3,7 @@
 // A shutdown has a fixed end, at which all requests are cut. A request that comes
 // meanwhile, or that still waits for an endpoint, is passed on only if its answer will
 // be whole before the end: because its deadline is earlier, or because the recent
-// answers of its route took less than the time left. All others are refused at once, as
+// answers of its route, and those in progress, took less than the time left. All others are refused at once, as
 // not run, and can be served by another instance.
 //
 // The package needs no network and has no state but the end of the shutdown and, in
@@ -12,10 +12,11 @@
 // # Usage
 //
 //	sd := &shutdown.Schedule{Clock: clock}
-//	lengths.Record("study-guide", 6*time.Second) // after each whole answer
-//	sd.Begin(end)                                // on SIGTERM
+//	an := lengths.Begin("study-guide", sentAt)
+//	an.End(endedAt, true)
+//	sd.Begin(end) // on SIGTERM
 //
-//	re := shutdown.Request{Deadline: deadline, Length: lengths.Longest("study-guide")}
+//	re := shutdown.Request{Deadline: deadline, Length: lengths.Longest("study-guide", now)}
 //	ju := sd.Judge(re)                           // when it arrives, and before it is sent
 //	if !ju.Takes { ... }                         // refuse it
 //
--- a/internal/shutdown/schedule_test.go
+++ b/internal/shutdown/schedule_test.go
@@ -88,20 +88,32 @@
 func TestLengths(t *testing.T) {
 	g := NewWithT(t)
 	var le Lengths
-	record := func(count int, took time.Duration) {
+	now := time.Now()
+	record := func(count int, took time.Duration, whole bool) {
 		for range count {
-			le.Record("r", took)
+			le.Begin("r", now.Add(-took)).End(now, whole)
 		}
 	}
-	record(spanAnswers-1, time.Second)
-	g.Expect(le.Longest("r")).To(BeZero())
-	record(1, 5*time.Second)
-	g.Expect(le.Longest("r")).To(Equal(5 * time.Second))
-	record(1, 6*time.Second)
-	g.Expect(le.Longest("r")).To(Equal(6 * time.Second))
-	record(spanAnswers-1, time.Second)
-	g.Expect(le.Longest("r")).To(Equal(6 * time.Second))
-	record(spanAnswers, time.Second)
-	g.Expect(le.Longest("r")).To(Equal(time.Second))
-	g.Expect(le.Longest("other")).To(BeZero())
+	longest := func() time.Duration { return le.Longest("r", now) }
+	record(spanAnswers-1, time.Second, true)
+	record(spanAnswers, time.Millisecond, false)
+	g.Expect(longest()).To(BeZero())
+	record(1, 5*time.Second, true)
+	g.Expect(longest()).To(Equal(5 * time.Second))
+	record(1, 6*time.Second, false)
+	g.Expect(longest()).To(Equal(6 * time.Second))
+	record(spanAnswers, time.Second, true)
+	g.Expect(longest()).To(Equal(6 * time.Second))
+	record(spanAnswers, time.Second, true)
+	g.Expect(longest()).To(Equal(time.Second))
+	g.Expect(le.Longest("other", now)).To(BeZero())
+
+	first, second := le.Begin("r", now), le.Begin("r", now)
+	now = now.Add(3 * time.Second)
+	g.Expect(longest()).To(Equal(3 * time.Second))
+	first.End(now, true)
+	first.End(now.Add(time.Hour), true)
+	second.End(now, true)
+	g.Expect(longest()).To(Equal(3 * time.Second))
+	(*Answer)(nil).End(now, true)
 }
