peer: a request that leaves does not wait for an allocator's answer

A request that waited for a slot of a brittle endpoint when a shutdown began was refused only when its wait at the allocator ended, up to 1.5 s later: with little time left the process could exit before the caller had an answer. The calls are not canceled on purpose, since that closes a connection which others use. Requests for engines waited likewise for up to 0.38 s, and those under rate limits did close the connection.

peer.Ask returns when the caller's context ends while the call goes on, and gives back what a late answer brings. All three allocators' clients use it.

--- a/internal/concurrency/limiter.go
+++ b/internal/concurrency/limiter.go
@@ -68,45 +68,46 @@
 func (li *Limiter) Take(ctx context.Context, en roster.Endpoint, maxWait, lease time.Duration) (us backpressure.Use, wait time.Duration, taken bool) {
 	ar := TakeArgs{Endpoint: en.ID, Started: en.Started, Zone: en.Zone, Slots: max(en.Slots, 1), MaxWait: min(maxWait, maxAllocatorWait), Lease: lease}
 	vi := li.Peers.View(en.ID, en.Zone)
-	re, asked := li.ask(ctx, vi, ar)
+	if vi.Allocator == nil {
+		return li.takeTurn(en, ar, vi)
+	}
+	giveBack := func(slot uint64, turnedAway bool) {
+		if slot > 0 {
+			rel := ReleaseArgs{Endpoint: en.ID, Started: en.Started, Slot: slot, TurnedAway: turnedAway}
+			li.release(vi.Allocator.Name, vi.Allocator.Address.String(), rel)
+		}
+	}
+	re, answered := peer.Ask(ctx, func() TakeReply { return li.ask(ctx, vi, ar) }, func(re TakeReply) { giveBack(re.Slot, false) })
 	switch {
-	case !asked:
+	case !answered:
+		return nil, retryAfter, false
+	case !re.IsAllocator:
 		return li.takeTurn(en, ar, vi)
 	case re.Slot == 0:
 		return nil, retryAfter, false
 	}
-	name, address := vi.Allocator.Name, vi.Allocator.Address.String()
-	rel := ReleaseArgs{Endpoint: en.ID, Started: en.Started, Slot: re.Slot}
-	li.learnEpoch(name, re.Epoch)
-	return li.enter(en, grantor{instance: name, epoch: re.Epoch}, func(turnedAway bool) {
-		rel.TurnedAway = turnedAway
-		li.release(name, address, rel)
-	}), 0, true
+	li.learnEpoch(vi.Allocator.Name, re.Epoch)
+	gr := grantor{instance: vi.Allocator.Name, epoch: re.Epoch}
+	return li.enter(en, gr, func(turnedAway bool) { giveBack(re.Slot, turnedAway) }), 0, true
 }
 
-// ask asks the allocator. It returns false if there is none that answers.
-func (li *Limiter) ask(ctx context.Context, vi ratelimit.View, ar TakeArgs) (TakeReply, bool) {
-	if vi.Allocator == nil {
-		return TakeReply{}, false
-	}
+// ask asks the allocator. IsAllocator is not set in the answer if it does not answer.
+func (li *Limiter) ask(ctx context.Context, vi ratelimit.View, ar TakeArgs) TakeReply {
 	if vi.Allocator.Name == li.Peers.Self.Name {
-		re := li.Allocator.Take(ar)
-		return re, re.IsAllocator
+		return li.Allocator.Take(ar)
 	}
 	name, now := vi.Allocator.Name, li.Boot.Now()
 	if li.skips.Has(name, now) {
-		return TakeReply{}, false
+		return TakeReply{}
 	}
-	// A canceled call would close the connection, on which other requests wait. The slot
-	// of a caller who has left is given back.
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), ar.MaxWait+askTimeout)
 	defer cancel()
 	var re TakeReply
 	if err := li.Caller.Call(ctx, vi.Allocator.Address.String(), ServiceName+".Take", ar, &re); err != nil || !re.IsAllocator {
 		li.skips.Add(name, now+askPause)
-		return TakeReply{}, false
+		return TakeReply{}
 	}
-	return re, true
+	return re
 }
 
 // release gives a slot back. If the message is lost, the slot's lease ends it.
--- a/internal/ratelimit/limiter.go
+++ b/internal/ratelimit/limiter.go
@@ -58,11 +58,13 @@
 func (li *Limiter) Take(ctx context.Context, en roster.Endpoint, limit backpressure.Limit, maxWait time.Duration) (wait time.Duration, taken bool) {
 	ar := TakeArgs{Endpoint: en.ID, Started: en.Started, Zone: en.Zone, Rate: limit.Rate, Paced: limit.Paced, MaxWait: maxWait}
 	vi := li.Peers.View(en.ID, en.Zone)
-	re, asked := li.ask(ctx, vi, ar)
-	if !asked {
+	re, answered := peer.Ask(ctx, func() TakeReply { return li.ask(ctx, vi, ar) }, func(TakeReply) {})
+	switch {
+	case !answered:
+		return askPause, false
+	case re.Decision == NotAllocator:
 		return li.takeShare(ar, vi)
-	}
-	if re.Decision == Taken {
+	case re.Decision == Taken:
 		li.count(outcomeTaken)
 		return re.Wait, true
 	}
@@ -70,27 +72,27 @@
 	return re.Wait, false
 }
 
-// ask asks the allocator. It returns false if there is none that answers.
-func (li *Limiter) ask(ctx context.Context, vi View, ar TakeArgs) (TakeReply, bool) {
+// ask asks the allocator. The decision is NotAllocator if there is none that answers.
+func (li *Limiter) ask(ctx context.Context, vi View, ar TakeArgs) TakeReply {
+	none := TakeReply{Decision: NotAllocator}
 	if vi.Allocator == nil {
-		return TakeReply{}, false
+		return none
 	}
 	if vi.Allocator.Name == li.Peers.Self.Name {
-		re := li.Allocator.Take(ar)
-		return re, re.Decision != NotAllocator
+		return li.Allocator.Take(ar)
 	}
 	name, now := vi.Allocator.Name, li.Boot.Now()
 	if li.skips.Has(name, now) {
-		return TakeReply{}, false
+		return none
 	}
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), askTimeout)
 	defer cancel()
 	var re TakeReply
 	if err := li.Caller.Call(ctx, vi.Allocator.Address.String(), methodTake, ar, &re); err != nil || re.Decision == NotAllocator {
 		li.skips.Add(name, now+askPause)
-		return TakeReply{}, false
+		return none
 	}
-	return re, true
+	return re
 }
 
 // takeShare takes a request without an allocator.
--- a/internal/reservation/client.go
+++ b/internal/reservation/client.go
@@ -181,21 +181,37 @@
 		return TakeReply{}, "none"
 	}
 	as.allocator = *vi.Allocator
+	late := *as
+	an, answered := peer.Ask(as.ctx, late.call, func(an taken) { late.grant(an.reply).Settle() })
+	if !answered {
+		return TakeReply{Decision: Waiting}, ""
+	}
+	if an.err != nil || an.reply.Decision == NotAllocator {
+		cl.skips.Add(as.allocator.Name, now+askPause)
+	}
+	if an.err != nil {
+		return TakeReply{}, an.err.Error()
+	}
+	return describe(an.reply)
+}
+
+// taken is the answer of an allocator, or the error of the call.
+type taken struct {
+	reply TakeReply
+	err   error
+}
+
+// call asks the allocator that ask has found.
+func (as *asking) call() taken {
+	cl := as.cl
 	if as.allocator.Name == cl.Peers.Self.Name {
-		return describe(cl.Allocator.Take(as.args))
+		return taken{reply: cl.Allocator.Take(as.args)}
 	}
-	// A canceled call would close the connection, which other requests use, too.
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(as.ctx), as.args.Hold+askTimeout)
 	defer cancel()
 	var re TakeReply
-	if err := cl.Caller.Call(ctx, as.allocator.Address.String(), ServiceName+".Take", as.args, &re); err != nil {
-		cl.skips.Add(as.allocator.Name, now+askPause)
-		return TakeReply{}, err.Error()
-	}
-	if re.Decision == NotAllocator {
-		cl.skips.Add(as.allocator.Name, now+askPause)
-	}
-	return describe(re)
+	err := cl.Caller.Call(ctx, as.allocator.Address.String(), ServiceName+".Take", as.args, &re)
+	return taken{reply: re, err: err}
 }
 
 // describe returns an answer and, if it means that the instance has to choose by itself,
