dispatch: judge the time before a retry, and tell the time left and when to come back

- A genuine 500 to an idempotent request was thrown away, and a retry taken from the budget, for a retry that was then refused: the caller got 502 stopping.
The time is judged first now, and the 500 delivered.
- The refusal of a request that came before SIGTERM named 0 s as the time left.
- Callers of the only instance of a zone were sent back after 50 to 100 ms, while the platform still gave it all their connections: they come back after that now.
- Requests whose deadline comes before the end of the shutdown could be told that it ended them; waiting ones were refused before answers had Connection: close.
- Grants of requests that are not sent are given back in one place, with the permit.
- The request path takes no lock to learn that no shutdown has begun.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -63,6 +63,12 @@
 	standby *standby
 }
 
+// release gives the permit and the grant of an attempt back that is not sent.
+func (de destination) release() {
+	de.permit.Release()
+	de.grant.Settle()
+}
+
 // result is the outcome of an attempt.
 type result struct {
 	step    step
@@ -81,16 +87,15 @@
 func (di *Dispatcher) attempt(ctx context.Context, ta *task, de destination) result {
 	en := de.endpoint
 	if ctx.Err() != nil || ta.remaining(di.Clock.Now()) <= 0 {
-		de.permit.Release()
+		de.release()
 		return di.handleEndedBeforeSend(ctx, ta)
 	}
-	if er := di.judgeTime(ta); er != nil {
-		de.permit.Release()
-		de.grant.Settle()
+	if er := di.refuseIfTooLate(ta); er != nil {
+		de.release()
 		return result{step: giveUp, refusal: er}
 	}
 	if ju := di.judge(ta, en); ju.Verdict == suspicion.Refuse {
-		de.permit.Release()
+		de.release()
 		return result{step: giveUp, refusal: suspectRefusal(ta, ju)}
 	}
 	ta.markTried(en)
@@ -194,6 +199,9 @@
 	if ve.Misdirected {
 		di.Roster.Leave(en.ID)
 	}
+	if er := di.refuseIfTooLate(ta); er != nil {
+		return result{step: giveUp, refusal: er}
+	}
 	if ta.arrivals < maxArrivals && ta.remaining(di.Clock.Now()) > minAttemptTime && di.Budget.Take(ta.service.Name) {
 		return result{step: retry}
 	}
@@ -227,7 +235,7 @@
 // so, it takes one retry from the budget.
 func (di *Dispatcher) mayRetry(ta *task) bool {
 	return ta.route.RetryClass == routing.Idempotent && ta.ran < ta.route.MaxAttempts &&
-		ta.remaining(di.Clock.Now()) > minAttemptTime && di.Budget.Take(ta.service.Name)
+		ta.remaining(di.Clock.Now()) > minAttemptTime && di.refuseIfTooLate(ta) == nil && di.Budget.Take(ta.service.Name)
 }
 
 func (di *Dispatcher) unreachableRefusal(ta *task, err error) *refusal.Error {
--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -40,7 +40,7 @@
 // takes the request. If the instance shuts down meanwhile, the task waits only as long as
 // its answer can still be whole before the end.
 func (di *Dispatcher) chooseEndpoint(ctx context.Context, ta *task, dm placement.Demand) (destination, *refusal.Error) {
-	ctx, cancel := di.Shutdown.WhileWaiting(ctx, di.shutdownRequest(ta))
+	ctx, cancel := di.Shutdown.WhileWaiting(ctx, func() shutdown.Request { return di.shutdownRequest(ta) })
 	defer cancel()
 	de, er := di.findEndpoint(ctx, ta, dm)
 	if er != nil && shutdown.IsCause(context.Cause(ctx)) {
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -62,6 +62,9 @@
 	// Shutdown decides which requests are served while the instance shuts down. If it is
 	// nil, all are.
 	Shutdown *shutdown.Schedule
+	// Alone reports whether no other instance of the zone is known to be there. If it is
+	// nil, there is one.
+	Alone func() bool
 	// Meter records metrics. If nil, none are recorded.
 	Meter *Meter
 
@@ -136,7 +139,7 @@
 	if err != nil {
 		return di.refuse(re, err)
 	}
-	if er := di.judgeTime(ta); er != nil {
+	if er := di.refuseIfTooLate(ta); er != nil {
 		return di.refuse(re, er)
 	}
 	if !re.Forwarded {
--- a/internal/dispatch/forward.go
+++ b/internal/dispatch/forward.go
@@ -54,7 +54,7 @@
 	if di.Forwarder == nil || ta.Forwarded || ta.ran > 0 || ta.arrivals > 0 || len(ta.forwards) >= maxForwards {
 		return false
 	}
-	return ta.remaining(di.Clock.Now()) > minAttemptTime && di.judgeTime(ta) == nil
+	return ta.remaining(di.Clock.Now()) > minAttemptTime && di.refuseIfTooLate(ta) == nil
 }
 
 // pathLost reports whether the task should be forwarded before an endpoint is tried.
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"filbertstall.example/filbertstall/internal/shutdown"
 )
 
 const (
@@ -32,12 +34,13 @@
 	}
 	gw.Log.Info().Str("event", "stopping").Int("open", gw.ingress.InFlight()).Msg("gateway: graceful shutdown begins")
 	gw.ready.stopping.Store(true)
-	gw.shutdown.Begin(start.Add(bound - shutdownMargin))
 	gw.ingress.AnnounceShutdown()
 	if gw.forwards != nil {
 		gw.forwards.AnnounceShutdown()
 	}
-	gw.Clock.Sleep(min(notReadyDelay, bound/3))
+	accepting := min(notReadyDelay, bound/3)
+	gw.shutdown.Start(shutdown.Period{Begin: start, Accepting: start.Add(accepting), End: start.Add(bound - shutdownMargin)})
+	gw.Clock.Sleep(accepting)
 	serving, cancelServing := context.WithTimeout(context.Background(), bound-shutdownMargin-gw.Clock.Since(start))
 	defer cancelServing()
 	writing, cancelWriting := context.WithTimeout(context.Background(), bound-exitMargin-gw.Clock.Since(start))
@@ -50,3 +53,8 @@
 	wg.Wait()
 	gw.Log.Info().Str("event", "stopped").Dur("took", gw.Clock.Since(start)).Msg("gateway: graceful shutdown ended")
 }
+
+// aloneInZone reports whether messages of no other instance of the zone arrive.
+func (gw *Gateway) aloneInZone() bool {
+	return gw.Settings.Peers != "" && gw.peers.Zone(gw.Settings.Zone, "").Alive <= 1
+}
--- a/internal/shutdown/doc.go
+++ b/internal/shutdown/doc.go
@@ -14,12 +14,12 @@
 //	sd := &shutdown.Schedule{Clock: clock}
 //	an := lengths.Begin("study-guide", sentAt)
 //	an.End(endedAt, true)
-//	sd.Begin(end) // on SIGTERM
+//	sd.Start(shutdown.Period{Begin: now, Accepting: closed, End: end}) // on SIGTERM
 //
+//	// when a request arrives, and before it is sent
 //	re := shutdown.Request{Deadline: deadline, Length: lengths.Longest("study-guide", now)}
-//	ju := sd.Judge(re)                           // when it arrives, and before it is sent
-//	if !ju.Takes { ... }                         // refuse it
+//	if pe, begun := sd.Period(); begun && !pe.Takes(re, now) { ... } // refuse it
 //
-//	ctx, cancel := sd.WhileWaiting(ctx, re)      // for the time that it waits
+//	ctx, cancel := sd.WhileWaiting(ctx, describe) // for the time that it waits
 //	defer cancel()
 package shutdown
--- a/internal/shutdown/schedule.go
+++ b/internal/shutdown/schedule.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -13,14 +14,20 @@
 type Schedule struct {
 	Clock clockwork.Clock
 
-	mu    sync.Mutex
-	begun time.Time // zero if the shutdown has not begun
-	end   time.Time
-	// waits has a function for each request that waits, which is called when the
-	// shutdown begins.
+	// period is nil if the shutdown has not begun.
+	period atomic.Pointer[Period]
+	mu     sync.Mutex
+	// waits has the requests that wait to be sent, until the shutdown begins.
 	waits map[*wait]struct{}
 }
 
+// Period is the time of a shutdown.
+type Period struct {
+	// Begin is when it begins. Until Accepting, the platform may still open connections
+	// to the instance. At End, the requests in progress are cut.
+	Begin, Accepting, End time.Time
+}
+
 // Request is what is known of a request when it is judged.
 type Request struct {
 	// Deadline is when the request ends at the latest, with or without an answer.
@@ -30,87 +37,65 @@
 	Length time.Duration
 }
 
-// Judgement tells whether a request is served, and why.
-type Judgement struct {
-	// Takes is set if the answer will be whole in time. It is always set before the
-	// shutdown begins.
-	Takes bool
-	// Begun is set once the shutdown has begun. Left is the time until its end.
-	Begun bool
-	Left  time.Duration
-}
-
 // lengthReserve is the factor by which the time left must exceed the expected length of
 // an answer.
 const lengthReserve = 1.25
 
-// Begin begins the shutdown. Requests are cut at end.
-func (sd *Schedule) Begin(end time.Time) {
+// Start begins the shutdown.
+func (sd *Schedule) Start(pe Period) {
 	sd.mu.Lock()
-	sd.begun, sd.end = sd.Clock.Now(), end
+	sd.period.Store(&pe)
 	waits := sd.waits
 	sd.waits = nil
 	sd.mu.Unlock()
 	for wt := range waits {
-		wt.schedule(sd)
+		wt.schedule(sd.Clock, pe)
 	}
 }
 
-// Since returns how long after the beginning of the shutdown a time was. It is negative
-// for earlier times, and zero if the shutdown has not begun.
-func (sd *Schedule) Since(at time.Time) time.Duration {
-	begun, _ := sd.times()
-	if begun.IsZero() {
-		return 0
+// Period returns the time of the shutdown, or false if it has not begun.
+func (sd *Schedule) Period() (Period, bool) {
+	if sd == nil {
+		return Period{}, false
 	}
-	return at.Sub(begun)
-}
-
-// Judge judges a request that arrives or is about to be sent to an endpoint.
-func (sd *Schedule) Judge(re Request) Judgement {
-	begun, end := sd.times()
-	if begun.IsZero() {
-		return Judgement{Takes: true}
+	pe := sd.period.Load()
+	if pe == nil {
+		return Period{}, false
 	}
-	now := sd.Clock.Now()
-	return Judgement{Takes: !re.latestStart(now, end).Before(now), Begun: true, Left: end.Sub(now)}
+	return *pe, true
 }
 
-func (sd *Schedule) times() (begun, end time.Time) {
-	if sd == nil {
-		return time.Time{}, time.Time{}
-	}
-	sd.mu.Lock()
-	defer sd.mu.Unlock()
-	return sd.begun, sd.end
-}
+// Takes reports whether a request that is sent to an endpoint now ends before the
+// shutdown does.
+func (pe Period) Takes(re Request, now time.Time) bool { return !pe.latestStart(re, now).Before(now) }
 
-// latestStart returns the latest time at which the request can be sent to an endpoint so
+// latestStart returns the latest time at which a request can be sent to an endpoint so
 // that it ends before the end of the shutdown. It is before now if there is none.
-func (re Request) latestStart(now, end time.Time) time.Time {
-	if !end.After(now) {
+func (pe Period) latestStart(re Request, now time.Time) time.Time {
+	switch {
+	case !pe.End.After(now):
 		return time.Time{}
-	}
-	if !re.Deadline.After(end) {
+	case !re.Deadline.After(pe.End):
 		return re.Deadline
-	}
-	if re.Length <= 0 {
+	case re.Length <= 0:
 		return time.Time{}
+	default:
+		return pe.End.Add(-time.Duration(lengthReserve * float64(re.Length)))
 	}
-	return end.Add(-time.Duration(lengthReserve * float64(re.Length)))
 }
 
 // WhileWaiting returns a context for the time that a request waits to be sent. It is
-// canceled as soon as the request can't be served before the end any more. The function
-// must be called when the wait ends.
-func (sd *Schedule) WhileWaiting(ctx context.Context, re Request) (context.Context, context.CancelFunc) {
+// canceled as soon as the request can't be served before the end any more. describe is
+// called if the shutdown has begun, or when it begins. The function that WhileWaiting
+// returns must be called when the wait ends.
+func (sd *Schedule) WhileWaiting(ctx context.Context, describe func() Request) (context.Context, context.CancelFunc) {
 	if sd == nil {
 		return ctx, func() {}
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
-	wt := &wait{request: re, cancel: cancel}
-	if !sd.add(wt) {
-		wt.schedule(sd)
+	wt := &wait{describe: describe, cancel: cancel}
+	if pe := sd.add(wt); pe != nil {
+		wt.schedule(sd.Clock, *pe)
 	}
 	return ctx, func() {
 		sd.remove(wt)
@@ -119,18 +104,18 @@
 	}
 }
 
-// add registers a wait. It returns false if the shutdown has begun.
-func (sd *Schedule) add(wt *wait) bool {
+// add registers a wait. It returns the time of the shutdown instead if it has begun.
+func (sd *Schedule) add(wt *wait) *Period {
 	sd.mu.Lock()
 	defer sd.mu.Unlock()
-	if !sd.begun.IsZero() {
-		return false
+	if pe := sd.period.Load(); pe != nil {
+		return pe
 	}
 	if sd.waits == nil {
 		sd.waits = make(map[*wait]struct{})
 	}
 	sd.waits[wt] = struct{}{}
-	return true
+	return nil
 }
 
 func (sd *Schedule) remove(wt *wait) {
@@ -141,27 +126,29 @@
 
 // wait is a request that waits to be sent.
 type wait struct {
-	request Request
-	cancel  context.CancelCauseFunc
+	describe func() Request
+	cancel   context.CancelCauseFunc
 
 	mu      sync.Mutex
 	timer   clockwork.Timer
 	stopped bool
 }
 
-// schedule cancels the wait when it is too late to send the request.
-func (wt *wait) schedule(sd *Schedule) {
-	_, end := sd.times()
-	now := sd.Clock.Now()
-	left := wt.request.latestStart(now, end).Sub(now)
-	if left <= 0 {
+// schedule cancels the wait when it is too late to send the request. A request whose
+// deadline is before the end may wait until then.
+func (wt *wait) schedule(clock clockwork.Clock, pe Period) {
+	now, re := clock.Now(), wt.describe()
+	if !pe.Takes(re, now) {
 		wt.cancel(errNoTime)
 		return
 	}
+	if !re.Deadline.After(pe.End) {
+		return
+	}
 	wt.mu.Lock()
 	defer wt.mu.Unlock()
 	if !wt.stopped {
-		wt.timer = sd.Clock.AfterFunc(left, func() { wt.cancel(errNoTime) })
+		wt.timer = clock.AfterFunc(pe.latestStart(re, now).Sub(now), func() { wt.cancel(errNoTime) })
 	}
 }
 
