ingress: an answer that is still written counts as in progress

A large plain answer whose caller still read it at the end of a shutdown was cut without a trace: its request counted as ended once its head was written, so stop_cuts missed it. The request ends now when its body has been written.

Before: TestStopLogsAnswersThatAreStillWritten found an empty log. Now it passes.

--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"runtime/debug"
@@ -198,7 +199,9 @@
 		return
 	default:
 		se.writeHead(ctx, rp)
-		writeBody(ctx, rp)
+		if writeBody(ctx, rp, release) {
+			return
+		}
 	}
 	release()
 }
@@ -223,8 +226,9 @@
 }
 
 // writeBody makes a body the response. A body of more than a chunk stays counted in the
-// memory of all bodies until the caller has read it.
-func writeBody(ctx *fasthttp.RequestCtx, rp dispatch.Reply) {
+// memory of all bodies until the caller has read it. writeBody returns true then, and calls
+// release when that is done.
+func writeBody(ctx *fasthttp.RequestCtx, rp dispatch.Reply, release func()) bool {
 	data, small := rp.Body.Small()
 	switch {
 	case ctx.IsHead():
@@ -234,8 +238,27 @@
 		ctx.Response.SetBodyRaw(data)
 		rp.Body.Free()
 	default:
-		ctx.Response.SetBodyStream(rp.Body.Reader(), rp.Body.Len())
+		ctx.Response.SetBodyStream(&plainBody{ReadCloser: rp.Body.Reader(), release: release}, rp.Body.Len())
+		return true
+	}
+	return false
+}
+
+// plainBody is the response body of an answer that is not a stream.
+type plainBody struct {
+	io.ReadCloser
+	release func()
+	closed  bool
+}
+
+// Close implements io.Closer. The HTTP library calls it after the last read.
+func (pb *plainBody) Close() error {
+	if pb.closed {
+		return nil
 	}
+	pb.closed = true
+	pb.release()
+	return pb.ReadCloser.Close()
 }
 
 // refuse writes the instance's own answer. If the status of the refusal's rule
