call: no call is sent that could not end before a stop, and each cut call is answered

New calls are refused from the beginning of a stop, but those that waited for a place then were sent whenever it became free, and calls in progress at the end of the stop timeout got no answer, as nothing could end their handler before the process exited. Both may be calls that must not be repeated.

Waiting calls are judged by their deadline (internal/shutdown), before each send too; a call in progress at the end is answered as stopping, unknown.

--- a/internal/call/fleet_test.go
+++ b/internal/call/fleet_test.go
@@ -42,6 +42,8 @@
 	handler *call.Handler
 	link    *platformfake.Store
 	holder  snapshot.Holder[kind.Configuration]
+	// base is the parent of the contexts of requests. If it is nil, it never ends.
+	base context.Context
 
 	mu          sync.Mutex
 	dead        bool
@@ -330,7 +332,11 @@
 
 func (in *instance) serve(ctx *fasthttp.RequestCtx, timeout time.Duration) error {
 	deadline := time.Now().Add(timeout)
-	within, cancel := context.WithDeadline(context.Background(), deadline)
+	base := context.Background()
+	if in.base != nil {
+		base = in.base
+	}
+	within, cancel := context.WithDeadline(base, deadline)
 	defer cancel()
 	cf := in.holder.Load()
 	te, _ := cf.Team("families")
--- a/internal/call/handler.go
+++ b/internal/call/handler.go
@@ -29,6 +29,7 @@
 	"filbertstall.example/filbertstall/internal/record"
 	"filbertstall.example/filbertstall/internal/refusal"
 	"filbertstall.example/filbertstall/internal/retry"
+	"filbertstall.example/filbertstall/internal/shutdown"
 	"filbertstall.example/filbertstall/pkg/kind"
 )
 
@@ -57,6 +58,9 @@
 	// Retries is the retry policy of idempotent calls. If it is nil, the handler
 	// creates its own policy.
 	Retries *retry.Policy
+	// Shutdown decides which calls are sent while the instance shuts down. If it is nil, all
+	// are.
+	Shutdown *shutdown.Schedule
 
 	once      sync.Once
 	events    map[event]tally.Counter
@@ -142,7 +146,8 @@
 	acquireCount int
 }
 
-// acquire requests a place at an endpoint that has not been excluded.
+// acquire requests a place at an endpoint that has not been excluded. It does not wait for
+// one beyond the latest time at which the call can end before a shutdown does.
 func (ha *Handler) acquire(ctx context.Context, oc *outgoingCall) (*admission.Grant, error) {
 	oc.mu.Lock()
 	oc.acquireCount++
@@ -151,7 +156,13 @@
 	placeRequest.ID += "-" + strconv.Itoa(oc.acquireCount)
 	placeRequest.Exclude = slices.Clone(placeRequest.Exclude)
 	oc.mu.Unlock()
-	return ha.Granter.Acquire(ctx, placeRequest)
+	ctx, cancel := ha.Shutdown.WhileWaiting(ctx, oc.shutdownRequest)
+	defer cancel()
+	gr, err := ha.Granter.Acquire(ctx, placeRequest)
+	if err != nil && shutdown.IsCause(context.Cause(ctx)) {
+		return nil, stoppingRefusal()
+	}
+	return gr, err
 }
 
 // exclude prevents further attempts at the named endpoint.
@@ -194,7 +205,7 @@
 	begun := ha.Clock.Now()
 	re := oc.request
 	re.Timeout = oc.ex.Deadline.Sub(begun)
-	an, err := ha.Sender.Call(gr.Endpoint.URL, re)
+	an, err := ha.callUntilCut(oc.ex.Context, gr.Endpoint.URL, re)
 	ha.Granter.Release(gr, admission.Outcome{Result: resultOf(err), Elapsed: ha.Clock.Since(begun)})
 	if err != nil {
 		ha.Log.Warn().Err(err).Str("endpoint", gr.Endpoint.Name).Msg("call: attempt at endpoint failed")
@@ -220,8 +231,11 @@
 	}
 }
 
-// refusalFor returns the refusal for an error of Sender.Call.
+// refusalFor returns the refusal for an error of send.
 func refusalFor(err error) *refusal.Error {
+	if er := stopped(err); er != nil {
+		return er.WithDispatched()
+	}
 	if endpoint.IsKind(err, endpoint.Unreachable) {
 		return refusal.Wrap(refusal.EndpointRefused, "no endpoint took the call", err)
 	}
--- a/internal/call/idempotent.go
+++ b/internal/call/idempotent.go
@@ -54,7 +54,7 @@
 		return endpoint.Response{}, err
 	}
 	oc.exclude(gr.Endpoint.Name)
-	if err := ha.checkDeadline(oc); err != nil {
+	if err := ha.checkTime(oc); err != nil {
 		ha.releaseUnused(gr)
 		return endpoint.Response{}, err
 	}
--- a/internal/call/keyed.go
+++ b/internal/call/keyed.go
@@ -107,17 +107,17 @@
 	return an, err
 }
 
-// checkDispatch returns a refusal if the deadline has passed or the claim cannot
-// be confirmed. The deadline is checked again at the end because Confirm reads
+// checkDispatch returns a refusal if there is no time left or the claim cannot
+// be confirmed. The time is checked again at the end because Confirm reads
 // the record if the claim is old, which takes time.
 func (kc *keyedCall) checkDispatch(cl record.Claim) error {
-	if err := kc.ha.checkDeadline(kc.outgoingCall); err != nil {
+	if err := kc.ha.checkTime(kc.outgoingCall); err != nil {
 		return err
 	}
 	if err := kc.ha.Recorder.Confirm(kc.ex.Context, cl); err != nil {
 		return refusal.Wrap(refusal.NoRecord, "the record of the call no longer stands, so it was not sent", err)
 	}
-	return kc.ha.checkDeadline(kc.outgoingCall)
+	return kc.ha.checkTime(kc.outgoingCall)
 }
 
 // answerResend answers a request whose key is already recorded. If the first
--- a/internal/call/unkeyed.go
+++ b/internal/call/unkeyed.go
@@ -13,17 +13,21 @@
 	if err != nil {
 		return endpoint.Response{}, err
 	}
-	an, _, err := ha.sendOnce(oc, gr, func() error { return ha.checkDeadline(oc) })
+	an, _, err := ha.sendOnce(oc, gr, func() error { return ha.checkTime(oc) })
 	return an, err
 }
 
-// checkDeadline returns a refusal if the deadline has passed before the call is
-// sent.
-func (ha *Handler) checkDeadline(oc *outgoingCall) error {
-	if ha.Clock.Now().Before(oc.ex.Deadline) {
-		return nil
+// checkTime returns a refusal if the deadline has passed before the call is sent, or if
+// the call could not end before a shutdown does.
+func (ha *Handler) checkTime(oc *outgoingCall) error {
+	now := ha.Clock.Now()
+	if !now.Before(oc.ex.Deadline) {
+		return refusal.New(refusal.DeadlinePassed, "the deadline passed before the call was sent")
 	}
-	return refusal.New(refusal.DeadlinePassed, "the deadline passed before the call was sent")
+	if pe, begun := ha.Shutdown.Period(); begun && !pe.Takes(oc.shutdownRequest(), now) {
+		return stoppingRefusal()
+	}
+	return nil
 }
 
 // sendOnce sends a call to the granted endpoint. If no connection was made, it
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -34,6 +34,7 @@
 	"filbertstall.example/filbertstall/internal/record"
 	"filbertstall.example/filbertstall/internal/retry"
 	"filbertstall.example/filbertstall/internal/setting"
+	"filbertstall.example/filbertstall/internal/shutdown"
 	"filbertstall.example/filbertstall/internal/snapshot"
 	"filbertstall.example/filbertstall/internal/suspicion"
 	"filbertstall.example/filbertstall/pkg/kind"
@@ -66,6 +67,7 @@
 	allocation    *allocation.Granter
 	members       *allocation.Poller
 	suspicion     *suspicion.Registry
+	shutdown      shutdown.Schedule
 	explain       *explain.Ring
 	// requestStop starts the graceful shutdown.
 	requestStop context.CancelFunc
@@ -105,8 +107,11 @@
 
 func (da *Daemon) shutDown() {
 	da.Log.Info().Msg("daemon: shutting down")
-	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(da.Settings.Limits.StopTimeout))
+	timeout := time.Duration(da.Settings.Limits.StopTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
+	now := da.Clock.Now()
+	da.shutdown.Start(shutdown.Period{Begin: now, Accepting: now, End: now.Add(timeout)})
 	da.control.Leave(ctx)
 	da.allocation.Leave(ctx)
 	handedOver, err := da.entry.Stop(ctx)
@@ -149,11 +154,12 @@
 		Hangups: hangups, Retries: retries, ResumeGrace: generation.DefaultResumeGrace, SlowCallerLimit: generation.DefaultSlowCallerLimit,
 		FlushDelay: time.Duration(limits.FlushDelay),
 	}
+	da.shutdown.Clock = da.Clock
 	recorder := &record.Recorder{
 		Store: guard.For(platform.ClassRecord), Instance: da.Settings.Name, Clock: da.Clock, Log: da.Log, Scope: da.root.Scope,
 		Retention: time.Duration(limits.RecordRetention),
 	}
-	calls := &call.Handler{Granter: granter, Sender: client, Recorder: recorder, Clock: da.Clock, Log: da.Log, Scope: da.root.Scope, Retries: retries}
+	calls := &call.Handler{Granter: granter, Sender: client, Recorder: recorder, Clock: da.Clock, Log: da.Log, Scope: da.root.Scope, Retries: retries, Shutdown: &da.shutdown}
 	da.entry = &entry.Server{
 		Listener: li.caller, Configuration: &da.configuration, Instance: da.Settings.Name, Explain: da.explain,
 		CreateGeneration: generations.Create, ResumeGeneration: generations.Resume, Call: calls.Serve,
