dispatch: an engine whose events come again counts as reachable

A run without a standby copy whose engine had been unreachable for a time and came back was not asked for when its stream broke later, so callers saw it end as broken: the mark stood beside the count that it follows from, and was not reset with it. It is derived from the count now.

Before: TestEngineThatAnswersAgainIsReachable failed (still unreachable after an event); now it passes.

--- a/internal/dispatch/stall.go
+++ b/internal/dispatch/stall.go
@@ -59,9 +59,8 @@
 	// examination since data arrived, or noReport.
 	made        int
 	forcedMoves int
-	// unreachable is set once the engine counts as lost.
-	unreachable bool
 	// failedProbes is the number of failed probes since data arrived or one succeeded.
+	// From stallProbes on, the engine counts as lost.
 	failedProbes int
 }
 
@@ -172,7 +171,7 @@
 	reachable := sw.di.Reachable(ctx, sw.endpoint.Address) || sw.ctx.Err() != nil
 	if reachable {
 		sw.mu.Lock()
-		sw.failedProbes, sw.unreachable = 0, false
+		sw.failedProbes = 0
 		sw.mu.Unlock()
 	}
 	return reachable
@@ -186,8 +185,7 @@
 		return false
 	}
 	sw.failedProbes++
-	sw.unreachable = sw.failedProbes >= stallProbes
-	return sw.unreachable
+	return sw.failedProbes >= stallProbes
 }
 
 // foundUnreachable reports whether the engine counts as lost. A nil watch knows nothing.
@@ -197,7 +195,7 @@
 	}
 	sw.mu.Lock()
 	defer sw.mu.Unlock()
-	return sw.unreachable
+	return sw.failedProbes >= stallProbes
 }
 
 // madeProgress reports whether the engine has made events of the run since the
--- a/internal/dispatch/standby_test.go
+++ b/internal/dispatch/standby_test.go
@@ -287,3 +287,18 @@
 	g.Expect(got).To(Equal(numbered(1, 6)))
 	g.Expect(ha.received()).To(Equal(1), "the run goes on where it was")
 }
+
+// A run whose engine had been unreachable for a time was not asked for when its stream
+// broke later, though events had come again meanwhile.
+func TestEngineThatAnswersAgainIsReachable(t *testing.T) {
+	g := NewWithT(t)
+	ha := newHarness(t)
+	ha.Reachable = func(context.Context, string) bool { return false }
+	sw := &stallWatch{di: ha.Dispatcher, ctx: t.Context(), waiting: true}
+	for range stallProbes {
+		sw.isStalled()
+	}
+	g.Expect(sw.foundUnreachable()).To(BeTrue())
+	sw.eventArrived()
+	g.Expect(sw.foundUnreachable()).To(BeFalse())
+}
