--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -62,8 +62,8 @@
 	// Shutdown decides which requests are served while the instance shuts down. If it is
 	// nil, all are.
 	Shutdown *shutdown.Schedule
-	// Alone reports whether no other instance of the zone is known to be there. If it is
-	// nil, there is one.
+	// Alone reports whether no other instance of the zone is known to take requests. If it
+	// is nil, there is one.
 	Alone func() bool
 	// Meter records metrics. If nil, none are recorded.
 	Meter *Meter
--- a/internal/forwarding/forwarder.go
+++ b/internal/forwarding/forwarder.go
@@ -40,8 +40,8 @@
 	Encode  func(re *dispatch.Request, remaining time.Duration) upstream.Call
 	Self    loadshare.Member
 	Members *loadshare.Members
-	// Alive reports whether messages of an instance arrive.
-	Alive func(name string) bool
+	// Takes reports whether messages of an instance arrive and it does not shut down.
+	Takes func(name string) bool
 	Paths Paths
 	Boot  boottime.Clock
 
@@ -74,7 +74,7 @@
 	for _, me := range fo.Members.List() {
 		switch {
 		case me.Name == fo.Self.Name || !me.Forwards.IsValid() || tried[me.Name] || fo.skips.Has(me.Name, fo.Boot.Now()):
-		case !fo.Alive(me.Name) || fo.Paths.LostAt(me.Name, service):
+		case !fo.Takes(me.Name) || fo.Paths.LostAt(me.Name, service):
 		case me.Zone == fo.Self.Zone:
 			near = append(near, me)
 		default:
--- a/internal/forwarding/forwarder_test.go
+++ b/internal/forwarding/forwarder_test.go
@@ -30,7 +30,7 @@
 func newForwarder(lost lostPaths, dead map[string]bool, list ...loadshare.Member) *Forwarder {
 	fo := &Forwarder{
 		Pool: &upstream.Pool{IDHeader: "Id", Clock: clockwork.NewRealClock()}, Self: member("self", "a", 1), Members: &loadshare.Members{},
-		Alive: func(name string) bool { return !dead[name] }, Paths: lost, Boot: boottime.System{},
+		Takes: func(name string) bool { return !dead[name] }, Paths: lost, Boot: boottime.System{},
 		Encode: func(re *dispatch.Request, _ time.Duration) upstream.Call {
 			return upstream.Call{Method: http.MethodPost, Target: "/", Host: "h", ID: re.ID}
 		},
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -29,10 +29,10 @@
 
 // buildForwarding lets other instances serve requests whose endpoints this instance
 // cannot reach, and serves theirs. It returns the controllers that are needed for it.
-func (gw *Gateway) buildForwarding(li listeners, di *dispatch.Dispatcher, hangups *hangup.Watcher, alive func(string) bool) []controller.Controller {
+func (gw *Gateway) buildForwarding(li listeners, di *dispatch.Dispatcher, hangups *hangup.Watcher, takes func(string) bool) []controller.Controller {
 	gw.forwardPool = upstream.Pool{IDHeader: gw.Adapter.IDHeader, Clock: gw.Clock}
 	di.Forwarder = &forwarding.Forwarder{
-		Pool: &gw.forwardPool, Encode: gw.Adapter.Codec.Forward, Self: gw.Settings.member(), Members: &gw.members, Alive: alive, Paths: &gw.paths, Boot: gw.Boot,
+		Pool: &gw.forwardPool, Encode: gw.Adapter.Codec.Forward, Self: gw.Settings.member(), Members: &gw.members, Takes: takes, Paths: &gw.paths, Boot: gw.Boot,
 	}
 	if li.forwards == nil {
 		return nil
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -110,6 +110,7 @@
 	eras        feed.Eras
 	suspects    *suspicion.Registry
 	moveOrder   loadshare.MoveOrder
+	stopping    loadshare.Stopping
 	pool        upstream.Pool
 	signals     backpressure.Registry
 	gate        backpressure.Gate
@@ -223,6 +224,7 @@
 	gw.tracker = placement.LoadTracker{Clock: gw.Clock, Zone: se.Zone, Instance: se.Instance, Changes: make(chan struct{}, 1)}
 	zones := gw.buildSpillover()
 	gw.moveOrder = loadshare.MoveOrder{Instance: se.Instance, Changes: gw.tracker.Changes}
+	gw.stopping = loadshare.Stopping{Boot: gw.Boot, Changes: gw.tracker.Changes}
 	gw.memory = divideMemory(se.MemoryBytes)
 	gw.shutdown = shutdown.Schedule{Clock: gw.Clock}
 	gw.pool = upstream.Pool{IDHeader: gw.Adapter.IDHeader, Clock: gw.Clock, Dial: gw.Dial}
@@ -247,7 +249,7 @@
 	di := &dispatch.Dispatcher{
 		State: &gw.state, Roster: &gw.roster, Tracker: &gw.tracker, Gate: &gw.gate, Codec: gw.Adapter.Codec, Clock: gw.Clock, Log: gw.Log,
 		Budget: se.budget(gw.Clock, gw.instanceCount), MaxAges: gw.maxAges,
-		Runs: mover, Suspects: gw.suspects, Turns: turns{limiter: &gw.suspectLimiter}, Reachable: gw.pool.Reachable, Progress: engines.Progress, Paths: &gw.paths, Memory: gw.memory.bodies, Shutdown: &gw.shutdown, Alone: gw.aloneInZone, Meter: &dispatch.Meter{Scope: gw.metrics.Scope},
+		Runs: mover, Suspects: gw.suspects, Turns: turns{limiter: &gw.suspectLimiter}, Reachable: gw.pool.Reachable, Progress: engines.Progress, Paths: &gw.paths, Memory: gw.memory.bodies, Shutdown: &gw.shutdown, Meter: &dispatch.Meter{Scope: gw.metrics.Scope},
 	}
 	if gw.rollouts != nil {
 		di.Rollouts = gw.rollouts
--- a/internal/gateway/share.go
+++ b/internal/gateway/share.go
@@ -22,7 +22,7 @@
 	self := se.member()
 	exchange := &loadshare.Exchange{
 		Conn: li.peers, Instance: se.Instance, Zone: se.Zone, Tracker: &gw.tracker, Members: &gw.members, MoveOrder: &gw.moveOrder, Clock: gw.Clock, Log: gw.Log,
-		Statements: &gw.signals, Suspects: gw.suspects, Paths: &gw.paths, Outliers: &gw.outliers, Heard: gw.peers.Heard,
+		Statements: &gw.signals, Suspects: gw.suspects, Paths: &gw.paths, Outliers: &gw.outliers, Stopping: &gw.stopping, Heard: gw.peers.Heard,
 	}
 	if gw.rollouts != nil {
 		exchange.Rollouts, gw.rollouts.exchange = gw.rollouts, exchange
@@ -46,7 +46,9 @@
 		Fetch: gw.fetchConfiguration, Decode: gw.Adapter.DecodeConfiguration,
 		Roster: &gw.roster, State: &gw.state, Clock: gw.Clock, Boot: gw.Boot, Logger: gw.Log, OnPanic: gw.logPanic,
 	}
-	list := gw.buildForwarding(li, di, hangups, exchange.IsAlive)
+	takes := func(name string) bool { return exchange.IsAlive(name) && !gw.stopping.Has(name) }
+	di.Alone = func() bool { return gw.aloneInZone(takes) }
+	list := gw.buildForwarding(li, di, hangups, takes)
 	return append(list,
 		&registration{
 			registry: gw.Adapter.Registry, source: gw.Adapter.Members, members: &gw.members, self: self, known: known, clock: gw.Clock, log: gw.Log,
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
+	"filbertstall.example/filbertstall/internal/loadshare"
 	"filbertstall.example/filbertstall/internal/shutdown"
 )
 
@@ -39,6 +41,7 @@
 		gw.forwards.AnnounceShutdown()
 	}
 	accepting := min(notReadyDelay, bound/3)
+	gw.stopping.Announce()
 	gw.shutdown.Start(shutdown.Period{Begin: start, Accepting: start.Add(accepting), End: start.Add(bound - shutdownMargin)})
 	gw.Clock.Sleep(accepting)
 	serving, cancelServing := context.WithTimeout(context.Background(), bound-shutdownMargin-gw.Clock.Since(start))
@@ -54,7 +57,9 @@
 	gw.Log.Info().Str("event", "stopped").Dur("took", gw.Clock.Since(start)).Msg("gateway: graceful shutdown ended")
 }
 
-// aloneInZone reports whether messages of no other instance of the zone arrive.
-func (gw *Gateway) aloneInZone() bool {
-	return gw.Settings.Peers != "" && gw.peers.Zone(gw.Settings.Zone, "").Alive <= 1
+// aloneInZone reports whether no other instance of the zone takes requests.
+func (gw *Gateway) aloneInZone(takes func(instance string) bool) bool {
+	return !slices.ContainsFunc(gw.members.List(), func(me loadshare.Member) bool {
+		return me.Zone == gw.Settings.Zone && me.Name != gw.Settings.Instance && takes(me.Name)
+	})
 }
--- a/internal/loadshare/exchange.go
+++ b/internal/loadshare/exchange.go
@@ -66,6 +66,9 @@
 	// Grants supplies the grants that the loads of this instance include, and receives
 	// those of others. Nil exchanges none.
 	Grants Grants
+	// Stopping tells whether this instance shuts down, and receives which others do. Nil
+	// exchanges nothing.
+	Stopping *Stopping
 	// Heard is called with the name of the sender of each message. It may be nil.
 	Heard func(instance string)
 	Clock clockwork.Clock
@@ -127,6 +130,7 @@
 		ex.sendSuspects(due)
 		ex.sendPaths(due)
 		ex.sendOutliers(due)
+		ex.sendStopping(due)
 		sameZone, otherZones := ex.Members.recipients(ex.Instance, ex.Zone)
 		moves, unsent := ex.MoveOrder.announced()
 		// A message with changed announcements goes to other zones at once. Other
@@ -210,6 +214,8 @@
 		ex.applyReport(data)
 	case isOutliers(data):
 		ex.applyOutliers(data)
+	case isStopping(data):
+		ex.applyStopping(data)
 	default:
 		ex.applyLoads(data)
 	}
