upstream: use the error of package buffer for large bodies

Cause: upstream.ErrTooLarge and buffer.ErrTooLarge meant the same.

Change: upstream returns buffer.ErrTooLarge. Only the text of the error differs.

Measured: go test -race ./internal/upstream ./internal/buffer pass.

--- a/internal/upstream/answer.go
+++ b/internal/upstream/answer.go
@@ -10,6 +10,8 @@
 	"strings"
 
 	"github.com/valyala/fasthttp"
+
+	"filbertstall.example/filbertstall/internal/buffer"
 )
 
 // Answer is the answer to a call. The caller of Do must close it.
@@ -37,9 +39,6 @@
 	closeDelimitedLength = -2
 )
 
-// ErrTooLarge is returned by ReadAll and Discard if the body is larger than the limit.
-var ErrTooLarge = errors.New("upstream: the body is too large")
-
 // Get returns the first value of a header field, or an empty string. The name is
 // not case-sensitive.
 func (an *Answer) Get(name string) string {
@@ -61,7 +60,7 @@
 	return count, err
 }
 
-// ReadAll reads the whole body. It returns ErrTooLarge if the body has more than
+// ReadAll reads the whole body. It returns buffer.ErrTooLarge if the body has more than
 // limit bytes.
 func (an *Answer) ReadAll(limit int) ([]byte, error) {
 	data, err := io.ReadAll(io.LimitReader(an, int64(limit)+1))
@@ -69,7 +68,7 @@
 		return nil, err
 	}
 	if len(data) > limit {
-		return nil, ErrTooLarge
+		return nil, buffer.ErrTooLarge
 	}
 	return data, nil
 }
@@ -77,12 +76,12 @@
 // discardBufferBytes is the size of the buffer that Discard reads into.
 const discardBufferBytes = 4 << 10
 
-// Discard reads the whole body without keeping it. It returns ErrTooLarge if the body
-// has more than limit bytes.
+// Discard reads the whole body without keeping it. It returns buffer.ErrTooLarge if the
+// body has more than limit bytes.
 func (an *Answer) Discard(limit int) error {
-	var buffer [discardBufferBytes]byte
+	var chunk [discardBufferBytes]byte
 	for total := 0; total <= limit; {
-		count, err := an.Read(buffer[:])
+		count, err := an.Read(chunk[:])
 		total += count
 		switch {
 		case errors.Is(err, io.EOF) && total <= limit:
@@ -91,7 +90,7 @@
 			return err
 		}
 	}
-	return ErrTooLarge
+	return buffer.ErrTooLarge
 }
 
 // Close ends the call. The connection is returned to the pool if the whole request
