comments: plain words for what instances and requests do

Cause: comments used figurative words (hears of, gives up, nobody, whatever, lately).

"Turn away" stays: it is what endpoints do with requests.

--- a/internal/admission/allocator.go
+++ b/internal/admission/allocator.go
@@ -30,7 +30,7 @@
 	// MaxWaitShare is the share of the time to its deadline that a request may
 	// be expected to wait in the queue, if that is longer than QueueWait. Under
 	// overload the newest requests are therefore refused, and older ones are
-	// served whatever their size.
+	// served at any size.
 	MaxWaitShare float64
 	// KnownLength returns the length of the answer in tokens if it is known in
 	// advance, and zero otherwise. It may be nil.
--- a/internal/admission/prefix.go
+++ b/internal/admission/prefix.go
@@ -12,7 +12,7 @@
 	maxPrefixes = 16384
 	// maxHolders is the maximum number of endpoints tracked per prefix.
 	maxHolders = 4
-	// affinityShare limits how much room is given up for a cached prefix: an
+	// affinityShare limits how much room a cached prefix may cost: an
 	// endpoint that holds the prefix is preferred to the best one if its score
 	// is lower by at most this share of the best one's memory.
 	affinityShare = 0.1
--- a/internal/admission/slope_test.go
+++ b/internal/admission/slope_test.go
@@ -9,7 +9,7 @@
 	"filbertstall.example/filbertstall/pkg/kind"
 )
 
-// BenchmarkSlopeGrant measures the time that a request takes in the allocator,
+// BenchmarkSlopeGrant measures the time of a request in the allocator,
 // on one goroutine: queued, granted, ten progress reports, finished.
 func BenchmarkSlopeGrant(b *testing.B) {
 	const requests, reports = 2000, 10
--- a/internal/allocation/holder.go
+++ b/internal/allocation/holder.go
@@ -41,7 +41,7 @@
 	instance string
 	re       admission.Request
 	// sequence is that of the instance's last sync before it asked. A later
-	// sync without the key means that the instance has given up.
+	// sync without the key means that the instance has stopped waiting.
 	sequence int64
 	// asked is when the instance last asked for the request, or when it
 	// reported a request in flight that the holder did not know.
--- a/internal/allocation/link.go
+++ b/internal/allocation/link.go
@@ -91,7 +91,7 @@
 	acked time.Time
 	sent  time.Time
 	// Until sendUntil, messages may be sent even though the holder has not
-	// answered lately.
+	// answered recently.
 	sendUntil   time.Time
 	boots       map[string]bootState
 	bootVersion int64
--- a/internal/backpressure/statement.go
+++ b/internal/backpressure/statement.go
@@ -46,7 +46,7 @@
 	return list, unsent
 }
 
-// news is a statement that other instances are told.
+// news has a statement that other instances are told.
 type news struct {
 	started int64
 	limit   Limit
--- a/internal/buffer/doc.go
+++ b/internal/buffer/doc.go
@@ -2,7 +2,7 @@
 // together.
 //
 // Neither the size of one body nor the number of bodies is known in advance, and an
-// endpoint in trouble may send bytes without end. A Budget therefore has a bound for
+// endpoint with a fault may send bytes without end. A Budget therefore has a bound for
 // their sum, in bytes of memory and not of content, and divides it by a dynamic
 // threshold: a body may grow as long as it holds no more than what is still free. One
 // body alone may have half of the budget, and beside bodies without end there is always
--- a/internal/call/pause_test.go
+++ b/internal/call/pause_test.go
@@ -13,7 +13,7 @@
 // instance.
 const afterFirstUpdate = 4
 
-// settleTime is long enough for all pending writes to finish or give up.
+// settleTime is long enough for all pending writes to finish or fail.
 const settleTime = 15 * time.Minute
 
 // Scenario: an instance is paused after its entry was written. Meanwhile the
--- a/internal/concurrency/limiter.go
+++ b/internal/concurrency/limiter.go
@@ -48,7 +48,7 @@
 
 	// reports numbers the reports.
 	reports atomic.Uint64
-	// skips has the instances that did not answer lately.
+	// skips has the instances that did not answer recently.
 	skips peer.Skips
 	mu    sync.Mutex
 	// alone has the endpoints with a request that was sent without asking, aloneAfter
@@ -140,7 +140,7 @@
 }
 
 // beginTurn reports whether no request is in progress that was sent without asking, and
-// none was turned away lately.
+// none was turned away recently.
 func (li *Limiter) beginTurn(ke key, now time.Duration) bool {
 	li.mu.Lock()
 	defer li.mu.Unlock()
--- a/internal/concurrency/report_test.go
+++ b/internal/concurrency/report_test.go
@@ -22,7 +22,7 @@
 	return nil
 }
 
-// pass lets time pass in which all instances hear each other.
+// pass lets time pass in which all instances exchange messages.
 func (fl *fleet) pass(span time.Duration) {
 	for until := fl.boot.Now() + span; fl.boot.Now() < until; {
 		fl.hear(func(int, int) bool { return true })
@@ -151,7 +151,7 @@
 	})
 }
 
-// Whatever an endpoint's entry says of its slots, one that has turned a request away gets
+// An endpoint that has turned a request away gets, independent of its entry's slots,
 // no more than it had room for, and one more from time to time.
 func TestEndpointThatTurnsAwayHasLessRoom(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/dispatch/limit_test.go
+++ b/internal/dispatch/limit_test.go
@@ -177,7 +177,7 @@
 }
 
 // The process was paused for longer than the caller waits: the request is not sent,
-// and the refusal says so. Sent over a kept connection, it ran for nobody.
+// and the refusal says so. Sent over a kept connection, it ran without a caller.
 func TestRequestAfterItsTime(t *testing.T) {
 	g := NewWithT(t)
 	ha := newHarness(t, succeeds)
--- a/internal/dispatch/suspect_test.go
+++ b/internal/dispatch/suspect_test.go
@@ -148,7 +148,7 @@
 }
 
 // A lost link looks like a crash of the endpoint. An instance that reaches no other
-// endpoint of the service either had recorded crashes of sound ones, against whatever
+// endpoint of the service either had recorded crashes of sound ones, against any feature that
 // it had sent there.
 func TestLostLinksAreNoCrashes(t *testing.T) {
 	for _, ca := range []struct {
--- a/internal/endpoint/connection.go
+++ b/internal/endpoint/connection.go
@@ -107,7 +107,7 @@
 }
 
 // idleConn fails a read that makes no progress within timeout. The read may
-// take up to a quarter longer to fail, because the deadline is extended at
+// fail up to a quarter later, because the deadline is extended at
 // most once per quarter of the timeout. This saves a timer operation per token.
 type idleConn struct {
 	net.Conn
--- a/internal/explain/ring.go
+++ b/internal/explain/ring.go
@@ -35,7 +35,7 @@
 	// Released means that the place was released. Reason is the result that was
 	// reported with the release.
 	Released Step = "released"
-	// Suspect means that the endpoint died while it ran the request.
+	// Suspect means that the endpoint crashed while it ran the request.
 	Suspect Step = "suspect"
 	// Answered means that the caller received the refusal in Reason.
 	Answered Step = "answered"
--- a/internal/feed/era.go
+++ b/internal/feed/era.go
@@ -9,7 +9,7 @@
 	mu            sync.Mutex
 	known         bool
 	first, newest int64
-	// risen is closed when newest rises. It is nil if nobody waits for that.
+	// risen is closed when newest rises. It is nil if no call waits for that.
 	risen chan struct{}
 }
 
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -79,7 +79,7 @@
 	// Apply applies changes in order.
 	Apply(list []Change[T])
 	// Restored reports that the store was restored from an older copy. The next list
-	// may lack objects that were written lately, and hold some that were removed.
+	// may lack objects that were written recently, and hold some that were removed.
 	Restored()
 	// CallAnswered reports that the store answered a call that was sent at boot
 	// time begun. It follows Reset or Apply if the answer led to one.
--- a/internal/forwarding/forwarder.go
+++ b/internal/forwarding/forwarder.go
@@ -45,7 +45,7 @@
 	Paths Paths
 	Boot  boottime.Clock
 
-	// skips has the instances that could not be reached lately.
+	// skips has the instances that could not be reached recently.
 	skips peer.Skips
 }
 
--- a/internal/gateway/rollout.go
+++ b/internal/gateway/rollout.go
@@ -136,7 +136,7 @@
 	}()
 }
 
-// isDue reports whether a transition was offered lately and its order did not change.
+// isDue reports whether a transition was offered recently and its order did not change.
 func (ro *rollouts) isDue(tr rollout.Transition, list []rollout.Order) bool {
 	return ro.gw.Clock.Since(ro.offeredAt) < offerTime && slices.ContainsFunc(list, func(or rollout.Order) bool {
 		return or.Service == tr.Service && or.Target == tr.Target && or.Revision == tr.Revision && or.State != tr.State
@@ -186,7 +186,7 @@
 	return true
 }
 
-// finishWrite takes over what the store has after a write.
+// finishWrite records what the store has after a write.
 func (ro *rollouts) finishWrite(re writeResult) {
 	tr := re.transition
 	if re.err != nil {
@@ -251,7 +251,7 @@
 }
 
 // evaluates reports whether this instance evaluates the roll-out of a service. One that
-// knows no others does; one that hears less than half of them doesn't.
+// knows no others does; one that gets messages of less than half of them doesn't.
 func (ro *rollouts) evaluates(service string) bool {
 	vi := ro.gw.peers.View(service, ro.gw.Settings.Zone)
 	if vi.Allocator == nil {
@@ -278,7 +278,7 @@
 	return max(count, 1)
 }
 
-// leavesByID reports whether runs at an endpoint move away because of a roll-out.
+// leavesByID reports whether runs move off an endpoint because of a roll-out.
 func (ro *rollouts) leavesByID(id string) bool {
 	en, known := ro.gw.roster.View().Get(id)
 	return known && ro.Leaves(en)
--- a/internal/gateway/sink.go
+++ b/internal/gateway/sink.go
@@ -200,7 +200,7 @@
 	rs.publish()
 }
 
-// put takes over an order. One that can't be read orders nothing.
+// put records an order. One that can't be read orders nothing.
 func (rs *rolloutSink) put(ob feed.Object[rollout.Order]) {
 	if ob.Value == nil {
 		delete(rs.list, ob.Name)
--- a/internal/healthcheck/checker.go
+++ b/internal/healthcheck/checker.go
@@ -126,7 +126,7 @@
 }
 
 // isHealthy reports whether an engine says that it is healthy. The runs of one that begins
-// to deny it are moved away before its report can tell whether it is about to shut down.
+// to deny it are moved off before its report can tell whether it is about to shut down.
 func (ch *Checker) isHealthy(ctx context.Context, en roster.Endpoint) bool {
 	path := ch.Path(en.Service)
 	if path == "" {
--- a/internal/healthcheck/doc.go
+++ b/internal/healthcheck/doc.go
@@ -9,7 +9,7 @@
 //
 // An engine denies its health at once when it is about to shut down, and may do so, or
 // not, for other reasons. Its report tells for certain, half a second later. So the runs
-// of an engine that denies its health are moved away, and it counts as leaving only when
+// of an engine that denies its health are moved off, and it counts as leaving only when
 // its report says so.
 //
 // # Usage
--- a/internal/loadshare/exchange.go
+++ b/internal/loadshare/exchange.go
@@ -80,7 +80,7 @@
 // Statements are what endpoints say of the requests that they take.
 // backpressure.Registry implements it.
 type Statements interface {
-	// Changed returns the statements that changed lately, and whether there are new
+	// Changed returns the statements that changed recently, and whether there are new
 	// ones since the last call.
 	Changed() (list []backpressure.Statement, unsent bool)
 	// Merge records statements that endpoints made to another instance.
--- a/internal/migration/evacuation.go
+++ b/internal/migration/evacuation.go
@@ -60,7 +60,7 @@
 
 // untried returns the number of runs in list for which no move has been
 // attempted. Only these are announced to other instances, so that a run that
-// cannot be moved does not hold up runs that can.
+// cannot be moved does not delay runs that can.
 func (ev *evacuation) untried(list []candidate) int {
 	count := 0
 	for _, ca := range list {
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -95,7 +95,7 @@
 	if err != nil {
 		return &Error{Op: method, Peer: address, Kind: Unreachable, Err: err}
 	}
-	// net/rpc may still decode an answer after the call was given up, so that it must
+	// net/rpc may still decode an answer after the call was abandoned, so that it must
 	// not decode into the caller's value.
 	decoded := reflect.New(reflect.TypeOf(reply).Elem())
 	done := rc.Go(method, args, decoded.Interface(), make(chan *rpc.Call, 1)).Done
--- a/internal/peer/recover_test.go
+++ b/internal/peer/recover_test.go
@@ -58,7 +58,7 @@
 // Ask answers.
 func (Late) Ask(_ int, _ *Answer) error { return nil }
 
-// An answer that was still being decoded when its call was given up was written into
+// An answer that was still being decoded when its call was abandoned was written into
 // the caller's value, which the caller might read at the same time.
 func TestLateAnswerIsNotDecodedIntoReply(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/peer/skip.go
+++ b/internal/peer/skip.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// Skips remembers which instances did not answer lately, so that no request waits for
+// Skips remembers which instances did not answer recently, so that no request waits for
 // them again. The zero value is empty. It is safe for concurrent use.
 type Skips struct {
 	mu    sync.Mutex
--- a/internal/placement/locality.go
+++ b/internal/placement/locality.go
@@ -39,7 +39,7 @@
 type ZoneLoad struct {
 	Zone string
 	// Sound is the number of endpoints that take requests, are not in cold start and
-	// have not failed lately. The other fields are sums over these, but for Wait.
+	// have not failed recently. The other fields are sums over these, but for Wait.
 	Sound int
 	// Wait is the mean expected delay of a typical request there.
 	Wait time.Duration
@@ -48,7 +48,7 @@
 	// ReservedTokens and MemoryTokens are the reserved and the plannable memory of
 	// engines.
 	ReservedTokens, MemoryTokens int
-	// Reachable is set unless connection attempts to the zone have failed lately.
+	// Reachable is set unless connection attempts to the zone have failed recently.
 	Reachable bool
 }
 
@@ -109,7 +109,7 @@
 	return kept
 }
 
-// isReachable reports whether no connection attempt to a zone has failed lately. The
+// isReachable reports whether no connection attempt to a zone has failed recently. The
 // caller must hold mu.
 func (lt *LoadTracker) isReachable(zone string, now time.Time) bool {
 	return lt.zonePaths[zone].failureScore(now) < lostPathScore
--- a/internal/placement/pending.go
+++ b/internal/placement/pending.go
@@ -8,7 +8,7 @@
 
 // AddPending counts a request towards the load of an engine that another instance will
 // send there, until RemovePending is called with the same demand. It is not reported to
-// other instances, which hear of it from the one that sends it.
+// other instances, which the one that sends it tells of it.
 func (lt *LoadTracker) AddPending(id string, dm Demand) {
 	lt.mu.Lock()
 	defer lt.mu.Unlock()
--- a/internal/placement/zonefailure.go
+++ b/internal/placement/zonefailure.go
@@ -73,7 +73,7 @@
 	maps.DeleteFunc(fa.failedAt, func(_ string, at time.Time) bool { return !at.After(until) })
 }
 
-// count returns the number of endpoints that failed lately, and drops the others.
+// count returns the number of endpoints that failed recently, and drops the others.
 func (fa *zoneFailure) count(now time.Time) int {
 	fa.drop(now.Add(-zoneFailurePeriod))
 	return len(fa.failedAt)
--- a/internal/ratelimit/allocator.go
+++ b/internal/ratelimit/allocator.go
@@ -101,7 +101,7 @@
 	return TakeReply{Decision: Taken, Wait: wait}
 }
 
-// Prune drops the buckets of endpoints that have had no requests lately.
+// Prune drops the buckets of endpoints that have had no requests recently.
 func (al *Allocator) Prune() {
 	now := al.Boot.Now()
 	al.mu.Lock()
--- a/internal/ratelimit/doc.go
+++ b/internal/ratelimit/doc.go
@@ -8,7 +8,7 @@
 // The others ask it before they send (limiter.go).
 //
 // If the network is partitioned, each side may have an allocator. Each gives out
-// only the part of the rate that corresponds to the instances that it hears of, so
+// only the part of the rate that corresponds to the instances that it knows to be alive, so
 // that the sum stays below the limit. An instance that can't ask its allocator sends
 // a small share by itself (share.go). An allocator that has just started, or that
 // was paused, gives out nothing until the others must have noticed.
--- a/internal/ratelimit/limiter.go
+++ b/internal/ratelimit/limiter.go
@@ -48,7 +48,7 @@
 	Scope tally.Scope
 
 	counters metric.Events[outcome]
-	// skips has the instances that did not answer lately.
+	// skips has the instances that did not answer recently.
 	skips  peer.Skips
 	mu     sync.Mutex
 	shares map[key]*share
--- a/internal/ratelimit/peers.go
+++ b/internal/ratelimit/peers.go
@@ -33,7 +33,7 @@
 	Boot    boottime.Clock
 
 	mu sync.Mutex
-	// heard is when the last message of another instance arrived, or when the
+	// heard has when the last message of another instance arrived, or when the
 	// instance was first listed.
 	heard map[string]contact
 	// checkedAt is when Check was last called. awakeSince is the end of the last
--- a/internal/ratelimit/simulation_test.go
+++ b/internal/ratelimit/simulation_test.go
@@ -243,7 +243,7 @@
 }
 
 // Guards against overload of endpoints that return in cold start: in no second do
-// they get more than they bear from all instances together, and they get no less
+// they get more than they can process from all instances together, and they get no less
 // than 13 in 14 of it while there is more demand.
 func TestColdEndpointsGetTheirShare(t *testing.T) {
 	const rate = 3.0
@@ -273,7 +273,7 @@
 }
 
 // An endpoint that named a rate limit gets no more than that from all instances
-// together, whatever happens to them.
+// together, in all of these events.
 func TestLimitHoldsForAnyNumberOfInstances(t *testing.T) {
 	for _, count := range []int{1, 6, 95, 340} {
 		for _, fa := range faults {
--- a/internal/reachability/doc.go
+++ b/internal/reachability/doc.go
@@ -5,7 +5,7 @@
 // one after the other, with no success at any of them. Endpoints are probed then, and
 // those that can't be reached again and again, so that no request has to wait for a
 // failed connection. The links count as lost while more endpoints are known to be
-// unreachable than reachable: few of them would have to bear all requests. A service
+// unreachable than reachable: few of them would get all requests. A service
 // most of whose endpoints have stopped looks the same; then all instances say so, and no
 // request is forwarded.
 //
--- a/internal/readahead/budget.go
+++ b/internal/readahead/budget.go
@@ -30,7 +30,7 @@
 	return bu.used
 }
 
-// take takes up to want bytes. If there are none, it returns a channel that is closed
+// take returns at most want bytes. If there are none, it returns a channel that is closed
 // when some are given back.
 func (bu *Budget) take(want int) (taken int, freed <-chan struct{}) {
 	bu.mu.Lock()
--- a/internal/record/change.go
+++ b/internal/record/change.go
@@ -35,7 +35,7 @@
 	op     operation
 	entry  Entry
 	answer Answer
-	// deadline is the time at which the shard gives up.
+	// deadline is the time at which the shard stops trying.
 	deadline time.Time
 	// attempted means that a write that contains the change may have been sent.
 	attempted bool
--- a/internal/record/entry.go
+++ b/internal/record/entry.go
@@ -114,7 +114,7 @@
 	Instance string `json:"instance"`
 	Digest   Hash   `json:"digest"`
 	// BegunMS, UntilMS and ExpiresMS are Unix times in milliseconds: the time at
-	// which the call began, the deadline at which its owner gives up, and the time
+	// which the call began, the deadline at which its owner stops waiting, and the time
 	// after which the entry may be removed.
 	BegunMS   int64   `json:"begun_ms"`
 	UntilMS   int64   `json:"until_ms"`
--- a/internal/relay/direct.go
+++ b/internal/relay/direct.go
@@ -19,15 +19,15 @@
 	// answer.
 	firstAnswerTimeout = 1300 * time.Millisecond
 	// maxFailures is the number of failed calls in a row after which a reader
-	// gives up, provided that they failed over at least failingTime and the
+	// stops reading, provided that they failed over at least failingTime and the
 	// store's last confirmation is older than failedConfirmationAge. A reader that
-	// the store turns away notices that sooner than one that gets no answer. One
+	// the store rejects notices that sooner than one that gets no answer. One
 	// call may fail because its connection was reset.
 	maxFailures           = 2
 	failingTime           = 400 * time.Millisecond
 	failedConfirmationAge = 1500 * time.Millisecond
 	// maxReaderAge is the age of the store's last confirmation beyond which a
-	// reader gives up. A store that answers slowly confirms every 1.4 s what was
+	// reader stops. A store that answers slowly confirms every 1.4 s what was
 	// in force when it was asked, so that ages reach twice that.
 	maxReaderAge = 2800 * time.Millisecond
 	// replacedInterval is the interval at which a reader that is not the first
--- a/internal/relay/doc.go
+++ b/internal/relay/doc.go
@@ -17,7 +17,7 @@
 //
 // An instance may also be followed while it follows another one. So an instance
 // that the store or the network keeps from its reader gets the state through a
-// neighbor, or from the readers of other zones if nobody in its own zone has it.
+// neighbor, or from the readers of other zones if no instance of its own zone has it.
 // Each update reports how old the store's confirmations are, and how many
 // instances are between the sender and the store. Instances never underestimate
 // these ages.
--- a/internal/relay/follow.go
+++ b/internal/relay/follow.go
@@ -130,7 +130,7 @@
 }
 
 // readyWait returns how long a candidate of this zone may answer with this error
-// until it is given up. It may be about to read the store, or to start.
+// until it counts as gone. It may be about to read the store, or to start.
 func (sw *Switch) readyWait(err error) time.Duration {
 	switch {
 	case errors.Is(err, errStale), sw.starting() && peer.IsKind(err, peer.Unreachable):
--- a/internal/relay/orders.go
+++ b/internal/relay/orders.go
@@ -122,7 +122,7 @@
 }
 
 // staleTime is the time between two confirmations after which the later one is passed to
-// followers at once, since instances do not use what was not confirmed lately.
+// followers at once, since instances do not use what was not confirmed recently.
 const staleTime = 2 * time.Second
 
 // Has reports whether there is an order for a service.
--- a/internal/relay/service.go
+++ b/internal/relay/service.go
@@ -54,7 +54,7 @@
 	// not answered.
 	Unable bool
 	// Hops is the number of instances between the sender and the store. It is
-	// zero if Direct is set, or if the sender follows nobody.
+	// zero if Direct is set, or if the sender follows no instance.
 	Hops int
 	// Reader is the instance that reads the store at the end of these hops; empty
 	// if Hops is zero.
--- a/internal/reservation/client.go
+++ b/internal/reservation/client.go
@@ -18,7 +18,7 @@
 
 const (
 	// minInstances is the number of instances of a zone from which on they ask an
-	// allocator. Fewer hear of each other's requests soon enough.
+	// allocator. Fewer learn of each other's requests soon enough.
 	minInstances = 4
 	// askTimeout limits a call to an allocator, beyond the time that a request waits
 	// there.
@@ -56,7 +56,7 @@
 	Scope tally.Scope
 
 	counters metric.Events[outcome]
-	// skips has the instances that did not answer lately.
+	// skips has the instances that did not answer recently.
 	skips peer.Skips
 
 	mu sync.Mutex
--- a/internal/reservation/failure_test.go
+++ b/internal/reservation/failure_test.go
@@ -153,7 +153,7 @@
 	g.Expect(fl.calls).To(BeZero())
 }
 
-// TestUnreachableEngines has an engine that refuses connections. The allocator hears of it
+// TestUnreachableEngines has an engine that refuses connections. The allocator learns of it
 // from those that tried, and believes two of them.
 func TestUnreachableEngines(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/reservation/fleet_test.go
+++ b/internal/reservation/fleet_test.go
@@ -59,7 +59,7 @@
 
 func zoneOf(ix, zones int) string { return fmt.Sprint("z", ix%zones) }
 
-// newFleet returns instances that have heard of each other for long enough.
+// newFleet returns instances that have known each other for long enough.
 func newFleet(size, zones, engines int) *fleet {
 	fl := &fleet{boot: &boottime.Manual{}}
 	fl.boot.Advance(time.Hour)
@@ -83,7 +83,7 @@
 	return fl
 }
 
-// pass lets time pass, in which instances hear each other unless cut says otherwise.
+// pass lets time pass, in which instances exchange messages unless cut says otherwise.
 func (fl *fleet) pass(span time.Duration, cut func(from, to int) bool) {
 	const step = 500 * time.Millisecond
 	for ; span > 0; span -= step {
--- a/internal/reservation/line.go
+++ b/internal/reservation/line.go
@@ -35,12 +35,12 @@
 	waiting map[string]*waiter
 	// answered has the requests whose answer their instances have not fetched yet.
 	answered map[string]*waiter
-	// grants is the rate at which engines were granted lately.
+	// grants is the rate at which engines were granted recently.
 	grants rate
 	// blocked is set if the last serve ended at a rank in which a request that others wait
 	// for found no room.
 	blocked bool
-	// returned has the requests that were refused lately.
+	// returned has the requests that were refused recently.
 	returned returned
 }
 
@@ -90,7 +90,7 @@
 	// until is when it is refused.
 	until time.Duration
 	// startBy is when it must get an engine for an answer that is on time, and endsAt when
-	// nobody waits for it any more.
+	// no caller waits for it any more.
 	startBy, endsAt time.Duration
 	// returned is set if the request was refused before.
 	returned bool
@@ -120,7 +120,7 @@
 }
 
 // push puts a request into the lane that it belongs to now. Those of a team are ordered by
-// when they must get an engine to be on time, late ones by when nobody waits for them any
+// when they must get an engine to be on time, late ones by when no caller waits for them any
 // more.
 func (li *line) push(wa *waiter, now time.Duration) {
 	re, order := &wa.args.Request, wa.startBy
@@ -292,7 +292,7 @@
 }
 
 // expectedWait returns how long a request is expected to wait, by the rate at which
-// engines were granted lately. It is zero if nothing is known.
+// engines were granted recently. It is zero if nothing is known.
 func (li *line) expectedWait(re Request, now time.Duration) time.Duration {
 	ahead := 1.0
 	for ke, la := range li.lanes {
--- a/internal/reservation/request.go
+++ b/internal/reservation/request.go
@@ -30,7 +30,7 @@
 	OnTime, Remaining, MaxWait time.Duration
 	// Exclude has the IDs of the engines that the request must not get,
 	Exclude []string
-	// Unreachable of those to which the asking instance found no connection lately.
+	// Unreachable of those to which the asking instance found no connection recently.
 	Unreachable []string
 }
 
--- a/internal/reservation/returned.go
+++ b/internal/reservation/returned.go
@@ -12,7 +12,7 @@
 	returnedLead = time.Hour
 )
 
-// returned has the requests that were refused lately, by their keys.
+// returned has the requests that were refused recently, by their keys.
 type returned map[uint64]refusedRequest
 
 // refusedRequest is a request whose caller may return.
--- a/internal/reservation/settled.go
+++ b/internal/reservation/settled.go
@@ -41,7 +41,7 @@
 // allocator of this instance.
 func (cl *Client) Settle(ids []uint64) { cl.Allocator.Settle(ids) }
 
-// Settled returns the grants that were settled lately. Loads that are read after the call
+// Settled returns the grants that were settled recently. Loads that are read after the call
 // include all of them.
 func (cl *Client) Settled() []uint64 {
 	now := cl.Boot.Now()
--- a/internal/reservation/unreachable.go
+++ b/internal/reservation/unreachable.go
@@ -11,7 +11,7 @@
 	reportLifetime = 1200 * time.Millisecond
 )
 
-// reports has which instances could not reach which engines lately, by engine. The caller
+// reports has which instances could not reach which engines recently, by engine. The caller
 // must hold the allocator's mutex.
 type reports map[string]map[string]time.Duration
 
--- a/internal/reservation/zones_test.go
+++ b/internal/reservation/zones_test.go
@@ -21,7 +21,7 @@
 
 func (leaving) Sent(roster.Endpoint, string) {}
 
-// A long answer that the zone's policy lets leave is offered to the other zone, whatever the
+// A long answer that the zone's policy lets leave is offered to the other zone, for any
 // fixed cost of another zone. There, the policy is not asked again.
 func TestPolicyOfZonesDecides(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/retry/retry_test.go
+++ b/internal/retry/retry_test.go
@@ -21,7 +21,7 @@
 }
 
 // Guards against retry storms: the load offered to endpoints stays within 1.1
-// times the callers' load, whatever share of the endpoints fails.
+// times the callers' load, for any share of endpoints that fail.
 func TestNoRetryStorm(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		po := &retry.Policy{}
--- a/internal/rollout/doc.go
+++ b/internal/rollout/doc.go
@@ -4,7 +4,7 @@
 // the answers and the other instances say, and writes what Next returns.
 //
 // A version on trial gets a share of the requests that keeps the number it gets in the
-// whole fleet below a bound, whatever instances know of each other. Its answers are
+// whole fleet below a bound, also if instances do not know each other. Its answers are
 // compared with those of the old version on the same route at the same time. An
 // instance that finds it bad stops using it at once; one instance, the evaluator, tells
 // all others and has the verdict written to the store.
--- a/internal/rollout/exposure.go
+++ b/internal/rollout/exposure.go
@@ -28,8 +28,8 @@
 	settleTime = time.Second
 )
 
-// baseShare is the share at an instance that has heard none from an evaluator. The sum
-// over all instances stays within plannedPart of the bound, whatever they know of each
+// baseShare is the share at an instance that has received none from an evaluator. The sum
+// over all instances stays within plannedPart of the bound, also if they do not know each
 // other.
 func (bo Bounds) baseShare() float64 { return min(plannedPart*bo.Share, maxShare) }
 
--- a/internal/rollout/fleet_rows_test.go
+++ b/internal/rollout/fleet_rows_test.go
@@ -37,7 +37,7 @@
 	return ro
 }
 
-// TestFleets leaves out two kinds that the benchmark has and that nobody has bounded: a
+// TestFleets leaves out two kinds that the benchmark has and that have no bound: a
 // version that turns bad after it was promoted, for which what it got before counts, too,
 // and an incident that hits both versions while a good one is promoted.
 func TestFleets(t *testing.T) {
--- a/internal/rollout/fleet_test.go
+++ b/internal/rollout/fleet_test.go
@@ -30,7 +30,7 @@
 	load                    float64
 	route                   string
 	greyOld, crashes, split bool
-	// incident makes a fifth of all answers fail for two seconds, whatever the version.
+	// incident makes a fifth of all answers fail for two seconds, in both versions.
 	// pace is the target's latency against the old one's.
 	incident bool
 	pace     float64
--- a/internal/rollout/judge.go
+++ b/internal/rollout/judge.go
@@ -144,7 +144,7 @@
 }
 
 // stepCrashes compares the crashes of endpoint processes, each counted once, by the
-// numbers of endpoints. Endpoints that crash by themselves do so whatever they are sent.
+// numbers of endpoints. Endpoints that crash by themselves do so under any request.
 func (ju *judge) stepCrashes(le *ledger, now time.Time, olds, targets int) {
 	if now.Sub(ju.crashAt) < longStep {
 		return
--- a/internal/rollout/publish.go
+++ b/internal/rollout/publish.go
@@ -60,7 +60,7 @@
 }
 
 // modeOf returns what the state of an order and the evidence allow. A stage that was
-// not confirmed lately is not begun; one that was confirmed is kept.
+// not confirmed recently is not begun; one that was confirmed is kept.
 func (re *Registry) modeOf(ro *rollout, now time.Time) mode {
 	switch {
 	case ro.state == Completed:
--- a/internal/rollout/registry.go
+++ b/internal/rollout/registry.go
@@ -127,7 +127,7 @@
 	}
 }
 
-// stale reports whether the list was not confirmed lately.
+// stale reports whether the list was not confirmed recently.
 func (re *Registry) stale(now time.Time) bool {
 	return re.confirmedAt.IsZero() || now.Sub(re.confirmedAt) > confirmationPeriod
 }
--- a/internal/rollout/report.go
+++ b/internal/rollout/report.go
@@ -15,7 +15,7 @@
 	// that receives it stops using the target. Else it is Pending.
 	Verdict State
 	// Evaluator is set in the reports of an instance that evaluates the service. Share
-	// is the share of the requests that it lets go to the target.
+	// is the share of the requests that it sends to the target.
 	Evaluator bool
 	Share     float64
 	// SentOld and SentNew are the requests sent to endpoints of other versions and to
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -61,7 +61,7 @@
 	}
 }
 
-// put takes in what the store has of the order. A final state of the store always
+// put records what the store has of the order. A final state of the store always
 // counts; one that is behind what was known is that of an older copy.
 func (ro *rollout) put(or Order, now time.Time) {
 	ro.learnAge(or.Age, now)
@@ -72,7 +72,7 @@
 	ro.state, ro.stateAt = or.State, now
 }
 
-// merge takes in the report of another instance. It reports whether the report is the
+// merge records the report of another instance. It reports whether the report is the
 // first from which this instance learns that the target is bad.
 func (ro *rollout) merge(instance string, rep Report, now time.Time, log zerolog.Logger) bool {
 	ro.learnAge(rep.Age, now)
@@ -100,7 +100,7 @@
 }
 
 // currentShare is the share of the requests that goes to the target: during the canary
-// the lowest one that an evaluator has reported lately, while promoting one that rises.
+// the lowest one that an evaluator has reported recently, while promoting one that rises.
 func (ro *rollout) currentShare(bo Bounds, now time.Time) float64 {
 	if ro.state == Promoting {
 		if ro.age(now) >= ro.order.Budget-ro.margin()-lastTime {
--- a/internal/rollout/stage.go
+++ b/internal/rollout/stage.go
@@ -42,7 +42,7 @@
 // Next evaluates all orders and returns a status that should be written now. It must be
 // called several times a second on each instance. evaluator reports whether this
 // instance is the one that evaluates a service; it must be false on an instance that
-// hears less than half of the others. pending returns how many runs and requests are
+// gets messages of less than half of the others. pending returns how many runs and requests are
 // still at endpoints of other versions than the target, in the fleet.
 func (re *Registry) Next(evaluator func(service string) bool, pending func(service, target string) int) (Transition, bool) {
 	if re.Bounds.Share <= 0 {
--- a/internal/rollout/state.go
+++ b/internal/rollout/state.go
@@ -4,7 +4,7 @@
 type State int
 
 const (
-	// Pending is the state of an order for which nobody has written a status yet.
+	// Pending is the state of an order for which no status was written yet.
 	Pending State = iota
 	// Canary is the state in which a share of the requests goes to the target.
 	Canary
--- a/internal/spillover/pattern_test.go
+++ b/internal/spillover/pattern_test.go
@@ -58,7 +58,7 @@
 	})
 }
 
-// All zones are full: nobody leaves.
+// All zones are full: no request leaves.
 func TestAllZonesFull(t *testing.T) {
 	forFleets(t, func(g *WithT, newFleet func() *fleet, each float64) {
 		fl := newFleet()
--- a/internal/spillover/share.go
+++ b/internal/spillover/share.go
@@ -83,7 +83,7 @@
 	}
 }
 
-// observe takes over the loads. A zone without endpoints is absent.
+// observe records the loads. A zone without endpoints is absent.
 func (sv *service) observe(loads []placement.ZoneLoad, home string, elapsed time.Duration) {
 	for _, zo := range sv.zones {
 		zo.load.Sound = 0
--- a/internal/suspicion/registry.go
+++ b/internal/suspicion/registry.go
@@ -55,7 +55,7 @@
 	unsent bool
 }
 
-// news is what the other instances are told of a feature.
+// news has what the other instances are told of a feature.
 type news struct {
 	// at is when this instance learnt it.
 	at time.Time
--- a/internal/suspicion/registry_test.go
+++ b/internal/suspicion/registry_test.go
@@ -53,7 +53,7 @@
 	return me.list[ix].Service().All(args.(*Query), reply.(*Reply))
 }
 
-// Guards against diverging verdicts: whatever the order of losses, clearings,
+// Guards against diverging verdicts: in any order of losses, clearings,
 // network partitions and merges, all instances agree once each has merged the
 // records of every other.
 func TestRegistriesConverge(t *testing.T) {
--- a/internal/writetimeout/conn.go
+++ b/internal/writetimeout/conn.go
@@ -21,7 +21,7 @@
 	// this time beyond the timeout.
 	deadlineStep = time.Second
 	// callerSocketBytes is the size of the kernel's send buffer. It limits the
-	// memory that a slow caller takes up.
+	// memory that a slow caller uses.
 	callerSocketBytes = 64 << 10
 )
 
