backpressure: judge all that changes while a permit waits

Cause: only a pause was looked at when a call was made. A permit was used though its endpoint had named or lowered a limit, or had become brittle, while the request waited. Requests that had waited for the turn of a suspected part were sent to endpoints that had left, were removed or evacuated meanwhile.

Change: judge (backpressure/judge.go) judges the endpoint of a permit when it is asked for, after the wait for a slot, and when the call is made, also by Gate.Usable. Turns given out under a higher limit are kept at the present rate. Resumed runs and health checks are judged as before.

--- a/internal/backpressure/error.go
+++ b/internal/backpressure/error.go
@@ -18,6 +18,8 @@
 	Limited ErrorKind = "limited"
 	// Full means that all slots of a brittle endpoint are taken.
 	Full ErrorKind = "full"
+	// Left means that the endpoint has been removed, or is leaving.
+	Left ErrorKind = "left"
 	// Expired means that the permit is no longer valid, for example because the
 	// process was paused since.
 	Expired ErrorKind = "expired"
--- a/internal/backpressure/gate.go
+++ b/internal/backpressure/gate.go
@@ -52,6 +52,11 @@
 	endpoint roster.Endpoint
 	// validFrom is when the call may be sent, validUntil when the permit expires.
 	validFrom, validUntil time.Duration
+	// terms are those of the request, and limit the one under which it has its turn.
+	terms Terms
+	limit Limit
+	// hasSlot is set if the request has a slot of its endpoint, or no slots are given out.
+	hasSlot bool
 	// control is set for calls to the control API.
 	control bool
 	used    atomic.Bool
@@ -89,6 +94,9 @@
 	// SlotsOf returns how many requests an endpoint processes at once. If it is nil, the
 	// number is that of the endpoint's entry.
 	SlotsOf func(en roster.Endpoint) int
+	// Usable reports whether an endpoint may get requests, by what is known of it beside
+	// its answers. If it is nil, all may.
+	Usable func(en roster.Endpoint) bool
 }
 
 // Terms are the conditions of a request to an endpoint.
@@ -96,17 +104,19 @@
 	// MaxWait is how long the request can wait.
 	MaxWait time.Duration
 	// ColdRate is the rate of requests, of all instances together, that the endpoint
-	// bears because it is in cold start. Zero means that it is not.
+	// can process because it is in cold start. Zero means that it is not.
 	ColdRate float64
 	// Lease is how long the request may last.
 	Lease time.Duration
 	// HasRoom is set if the endpoint keeps room for the request, as for a run whose copy
 	// it holds.
 	HasRoom bool
+	// IsCheck is set for health checks, which go to endpoints that get no requests, too.
+	IsCheck bool
 }
 
 // limitWith returns the lower one of the limit that an endpoint named and the rate
-// that it bears in cold start.
+// that it can process in cold start.
 func (te Terms) limitWith(named Limit) Limit {
 	if te.ColdRate <= 0 || named.Named && named.Rate <= te.ColdRate {
 		return named
@@ -117,18 +127,24 @@
 // Request returns a permit for a request of a caller, valid after at most
 // Terms.MaxWait. It must be released. An error is of type *Error.
 func (ga *Gate) Request(ctx context.Context, en roster.Endpoint, te Terms) (*Permit, error) {
+	pe := &Permit{endpoint: en, terms: te}
 	st, _ := ga.Registry.lookup(en)
-	now := ga.Registry.Boot.Now()
-	if left := st.pausedUntil - now; left > 0 {
-		return nil, &Error{Op: "request", Endpoint: en.ID, Kind: Paused, After: left}
+	if err := ga.judgeEndpoint("request", pe, st); err != nil {
+		return nil, err
 	}
-	pe, err := ga.takeSlot(ctx, en, te, st)
-	if err != nil {
+	if err := ga.takeSlot(ctx, pe, st); err != nil {
+		return nil, err
+	}
+	// The request may have waited for its slot.
+	st, _ = ga.Registry.lookup(en)
+	pe.limit = te.limitWith(st.limit)
+	if err := ga.judge("request", pe, st); err != nil {
+		pe.Release()
 		return nil, err
 	}
 	// A pause of the process while the limiter is asked counts toward the permit's life.
 	begun := ga.Registry.Boot.Now()
-	wait, err := ga.takeRate(ctx, en, te, st)
+	wait, err := ga.takeRate(ctx, pe, st)
 	if err != nil {
 		pe.Release()
 		return nil, err
@@ -138,36 +154,37 @@
 	return pe, nil
 }
 
-// takeSlot returns a permit that has a slot of a brittle endpoint.
-func (ga *Gate) takeSlot(ctx context.Context, en roster.Endpoint, te Terms, st state) (*Permit, error) {
-	pe := &Permit{endpoint: en}
+// takeSlot takes a slot for a permit if its endpoint is brittle.
+func (ga *Gate) takeSlot(ctx context.Context, pe *Permit, st state) error {
 	if ga.Slots == nil {
-		return pe, nil
+		pe.hasSlot = true
+		return nil
 	}
+	en, te := pe.endpoint, pe.terms
 	if ga.SlotsOf != nil {
 		en.Slots = ga.SlotsOf(en)
 	}
 	if !st.brittle || te.HasRoom {
 		pe.use = ga.Slots.Enter(en)
-		return pe, nil
+		return nil
 	}
 	if left := st.deniedUntil - ga.Registry.Boot.Now(); te.MaxWait <= 0 && left > 0 {
-		return nil, &Error{Op: "request", Endpoint: en.ID, Kind: Full, After: left}
+		return &Error{Op: "request", Endpoint: en.ID, Kind: Full, After: left}
 	}
 	use, wait, taken := ga.Slots.Take(ctx, en, te.MaxWait, te.Lease)
 	if !taken {
 		ga.Registry.deny(en, wait)
-		return nil, &Error{Op: "request", Endpoint: en.ID, Kind: Full, After: wait}
+		return &Error{Op: "request", Endpoint: en.ID, Kind: Full, After: wait}
 	}
-	pe.use = use
-	return pe, nil
+	pe.use, pe.hasSlot = use, true
+	return nil
 }
 
 // takeRate takes a request from the rate limit of an endpoint and returns after how long
 // it may be sent.
-func (ga *Gate) takeRate(ctx context.Context, en roster.Endpoint, te Terms, st state) (time.Duration, error) {
+func (ga *Gate) takeRate(ctx context.Context, pe *Permit, st state) (time.Duration, error) {
 	now := ga.Registry.Boot.Now()
-	limit := te.limitWith(st.limit)
+	en, te, limit := pe.endpoint, pe.terms, pe.limit
 	if !limit.Named || ga.Limiter == nil {
 		return 0, nil
 	}
@@ -210,23 +227,6 @@
 	return max(pe.validFrom-ga.Registry.Boot.Now(), 0)
 }
 
-// judgeAgain returns an error if the call of a permit must not be sent any more: the permit
-// has expired, or the endpoint has asked for a pause while the call waited for its turn.
-func (ga *Gate) judgeAgain(pe *Permit) error {
-	now := ga.Registry.Boot.Now()
-	if now > pe.validUntil {
-		return &Error{Op: "send", Endpoint: pe.endpoint.ID, Kind: Expired}
-	}
-	if pe.control {
-		return nil
-	}
-	st, _ := ga.Registry.lookup(pe.endpoint)
-	if left := st.pausedUntil - now; left > 0 {
-		return &Error{Op: "send", Endpoint: pe.endpoint.ID, Kind: Paused, After: left}
-	}
-	return nil
-}
-
 // Do sends a call to the endpoint of a permit and reads the head of its answer. The
 // caller must close the answer. An error of type *Error means that the call was not
 // sent because of its permit.
@@ -234,7 +234,7 @@
 	if pe == nil || pe.used.Swap(true) {
 		return nil, &Error{Op: "send", Endpoint: ca.Address, Kind: NoPermit}
 	}
-	if err := ga.judgeAgain(pe); err != nil {
+	if err := ga.judgePermit(pe); err != nil {
 		return nil, err
 	}
 	an, err := ga.Transport.Do(ctx, ca)
--- a/internal/gateway/signals.go
+++ b/internal/gateway/signals.go
@@ -21,12 +21,12 @@
 	gw.slots = concurrency.Allocator{Peers: &gw.peers, Boot: gw.Boot}
 	slots := &concurrency.Limiter{Peers: &gw.peers, Allocator: &gw.slots, Caller: &peer.Client{}, Boot: gw.Boot, IsBrittle: gw.signals.IsBrittle, Running: gw.tracker.Running}
 	gw.inProgress = slots
-	gw.gate = backpressure.Gate{Slots: slots, SlotsOf: gw.slotsOf, Transport: &gw.pool, Decode: gw.Adapter.Codec.Signal, Registry: &gw.signals, Limiter: &gw.limiter}
+	gw.gate = backpressure.Gate{Slots: slots, SlotsOf: gw.slotsOf, Usable: gw.usable, Transport: &gw.pool, Decode: gw.Adapter.Codec.Signal, Registry: &gw.signals, Limiter: &gw.limiter}
 	gw.tracker.Backpressure = &gw.signals
 }
 
 // slotsOf returns how many requests an endpoint processes at once: an engine no more than
-// the configuration of its service says, whatever its entry does.
+// the configuration of its service says, even if its entry says more.
 func (gw *Gateway) slotsOf(en roster.Endpoint) int {
 	cf := gw.state.Load()
 	if cf == nil {
@@ -38,6 +38,12 @@
 	return en.Slots
 }
 
+// usable reports whether an endpoint may get requests.
+func (gw *Gateway) usable(en roster.Endpoint) bool {
+	_, usable := gw.roster.View().Usable(en.ID)
+	return usable
+}
+
 // leaves marks an endpoint as leaving because an answer of its process said so.
 func (gw *Gateway) leaves(id string, started int64) {
 	if en, known := gw.roster.View().Get(id); known && en.Started == started {
