--- a/internal/concurrency/concurrency_test.go
+++ b/internal/concurrency/concurrency_test.go
@@ -63,7 +63,7 @@
 	return nil
 }
 
-// newFleet returns limiters that have heard of each other for long enough.
+// newFleet returns limiters that have known each other for long enough.
 func newFleet(size int) *fleet {
 	fl := &fleet{boot: &boottime.Manual{}}
 	fl.boot.Advance(time.Hour)
@@ -85,9 +85,14 @@
 	return fl
 }
 
-// hear lets half a second pass in which instances hear each other if heard says so.
+// hear lets half a second pass and makes the instances exchange messages.
 func (fl *fleet) hear(heard func(from, to int) bool) {
 	fl.boot.Advance(500 * time.Millisecond)
+	fl.exchange(heard)
+}
+
+// exchange delivers the messages between instances for which heard returns true.
+func (fl *fleet) exchange(heard func(from, to int) bool) {
 	for to, li := range fl.limiters {
 		li.Peers.Check()
 		for from, other := range fl.limiters {
@@ -173,7 +178,7 @@
 }
 
 // Instances of a partitioned network have fewer slots on each side: the sum stays within
-// those of the endpoint. Instances that can ask nobody take turns.
+// those of the endpoint. Instances that can ask no other take turns.
 func TestSlotsUnderPartitions(t *testing.T) {
 	g := NewWithT(t)
 	fl := newFleet(12)
@@ -210,7 +215,7 @@
 	}
 }
 
-// Requests wait for a slot in the order in which they came. One that gives up leaves its
+// Requests wait for a slot in the order in which they came. One that stops waiting leaves its
 // place to the next.
 func TestRequestsWaitInOrder(t *testing.T) {
 	g := NewWithT(t)
