--- a/internal/ratelimit/limiter.go
+++ b/internal/ratelimit/limiter.go
@@ -48,7 +48,7 @@
 	Scope tally.Scope
 
 	counters metric.Events[outcome]
-	// skips has the instances that did not answer lately.
+	// skips has the instances that did not answer recently.
 	skips  peer.Skips
 	mu     sync.Mutex
 	shares map[key]*share
@@ -102,7 +102,7 @@
 	if li.shares == nil {
 		li.shares = make(map[key]*share)
 	}
-	ke := key{endpoint: ar.Endpoint, started: ar.Started}
+	ke := ar.key()
 	sh := li.shares[ke]
 	if sh == nil {
 		sh = &share{}
