relay: decide who reads the store in a state machine, and explore it

Cause, lost readers: a reader's silence took up to 1.7 s to notice, and each further candidate that was lost as long again, since they were tried one after the other.

What others say never keeps a zone from the store: while it is known not to answer, the first two candidates that can be reached try it each 1.2 to 1.8 s; otherwise an instance that got nothing for 1.7 s reads it. The time for which a candidate is passed over is not renewed. Calls to a reader are held for 0.5 s instead of 1 s, a loss is followed by one search among all, and a reader gives up after a call that is 1.7 s long. A source that took a lost reader's place counts only once it brings a newer confirmation. Messages keep their form.

TestResetConnections sets the state that follow expects; it checks the same.

--- a/internal/relay/direct.go
+++ b/internal/relay/direct.go
@@ -14,7 +14,7 @@
 const (
 	// directCheckInterval is the interval at which a reader checks whether it can
 	// go on.
-	directCheckInterval = 200 * time.Millisecond
+	directCheckInterval = 100 * time.Millisecond
 	// firstAnswerTimeout is how long a new reader waits for the store's first
 	// answer.
 	firstAnswerTimeout = 1300 * time.Millisecond
@@ -30,12 +30,18 @@
 	// reader gives up. A store that answers slowly confirms every 1.4 s what was
 	// in force when it was asked, so that ages reach twice that.
 	maxReaderAge = 2800 * time.Millisecond
+	// maxSilence is how long a reader waits for the end of a call, after which it
+	// gives up. The store holds it for a second.
+	maxSilence = 1700 * time.Millisecond
 	// replacedInterval is the interval at which a reader that is not the first
-	// candidate asks those before it whether they read the store.
-	replacedInterval = 3 * time.Second
+	// candidate asks those before it whether they read the store, and
+	// firstReplacedCheck the time until it does so at first: two candidates may have
+	// begun at about the same time.
+	replacedInterval   = 3 * time.Second
+	firstReplacedCheck = 500 * time.Millisecond
 	// lapseTime is the age of the store's last confirmation beyond which entries
 	// may be missing from the store because their endpoints could not renew them
-	// during an outage.
+	// during an outage, if there was one.
 	lapseTime = 3 * time.Second
 )
 
@@ -44,7 +50,6 @@
 // readDirectly follows the store until the store does not answer any more, or
 // a candidate that comes before this instance reads it.
 func (sw *Switch) readDirectly(ctx context.Context) {
-	begun := sw.Boot.Now()
 	sw.Log.setRole(role{direct: true})
 	sw.Log.ConfigurationAnswered()
 	if age, confirmed := sw.State.Age(); confirmed && age > lapseTime {
@@ -61,55 +66,73 @@
 			sw.Logger.Error().Str("event", "store_not_followed").Err(err).Msg("relay: controllers that follow the store stopped with an error")
 		}
 	}()
-	unable := sw.awaitReplacement(ctx)
-	if unable {
-		sw.skipSelf(sw.confirmedSince(begun))
+	ev := sw.awaitReplacement(ctx)
+	if ev.kind == storeLost {
 		age, _ := sw.State.Age()
 		sw.Logger.Info().Str("event", "store_not_readable").Dur("age", age).Msg("relay: the store does not answer; leaving it to the next candidate of the zone")
 	}
-	sw.Log.setRole(role{unable: unable})
+	sw.Log.setRole(role{unable: ev.kind == storeLost})
 	cancel()
 	<-done
+	if ev.kind != storeAnswered {
+		sw.handle(ev)
+	}
 }
 
 // awaitReplacement waits until this instance no longer reads the store for its
-// zone, and reports whether the reason is that the store does not answer.
-func (sw *Switch) awaitReplacement(ctx context.Context) (unable bool) {
+// zone, and returns the event that is the reason: the store does not answer, or a
+// candidate before this one reads it. It returns storeAnswered if ctx ends.
+func (sw *Switch) awaitReplacement(ctx context.Context) event {
 	begun, beganAt := sw.Clock.Now(), sw.Boot.Now()
-	asked := begun
+	asked := begun.Add(firstReplacedCheck - replacedInterval)
 	for ctx.Err() == nil {
 		sw.pause(ctx, directCheckInterval)
-		if sw.isUnable(sw.confirmedSince(beganAt), sw.Clock.Since(begun)) {
-			return true
+		answered := sw.confirmedSince(beganAt)
+		if sw.isUnable(answered, sw.Clock.Since(begun)) {
+			return event{kind: storeLost, answered: answered}
+		}
+		if answered {
+			sw.handle(event{kind: storeAnswered})
+		}
+		if sw.Clock.Since(asked) < replacedInterval {
+			continue
 		}
-		if sw.Clock.Since(asked) >= replacedInterval {
-			asked = sw.Clock.Now()
-			if sw.isReplaced(ctx) {
-				return false
-			}
+		asked = sw.Clock.Now()
+		if before, found := sw.readerBefore(ctx); found {
+			return event{kind: replaced, name: before.Name}
 		}
 	}
-	return false
+	return event{kind: storeAnswered}
 }
 
 // isUnable reports whether the store does not answer this instance. It has read
 // the store for the given time, and answered tells whether it got any answer.
 func (sw *Switch) isUnable(answered bool, reading time.Duration) bool {
 	age, _ := sw.State.Age()
-	failures, since := sw.Log.failing()
-	failing := failures >= maxFailures && since >= failingTime
+	return storeFails(answered, reading, age, sw.Log.configurationCalls())
+}
+
+// storeFails reports whether a reader gives up: it has read the store for the time
+// reading, and its confirmation has this age.
+func storeFails(answered bool, reading, age time.Duration, ca calls) bool {
+	fails := ca.failures >= maxFailures && ca.failing >= failingTime
 	if !answered {
-		return failing || reading > firstAnswerTimeout
+		return fails || reading > firstAnswerTimeout
 	}
-	return age > maxReaderAge || failing && age > failedConfirmationAge
+	return age > maxReaderAge || ca.silent > maxSilence || fails && age > failedConfirmationAge
 }
 
-// isReplaced reports whether a candidate that comes before this one reads the
+// readerBefore returns a candidate that comes before this one and reads the
 // store, too.
-func (sw *Switch) isReplaced(ctx context.Context) bool {
+func (sw *Switch) readerBefore(ctx context.Context) (loadshare.Member, bool) {
 	list := sw.candidates()
 	before := slices.IndexFunc(list, func(me loadshare.Member) bool { return me.Name == sw.Self.Name })
-	return slices.ContainsFunc(sw.askAll(ctx, list[:before]), func(so source) bool { return so.status.Direct })
+	for _, so := range sw.askAll(ctx, list[:before]) {
+		if so.isFresh() && so.status.Direct {
+			return so.member, true
+		}
+	}
+	return loadshare.Member{}, false
 }
 
 // delayed wraps the other controllers so that they start once the store has
--- a/internal/relay/doc.go
+++ b/internal/relay/doc.go
@@ -10,10 +10,18 @@
 //
 // A candidate that fails is passed over for some time, and the next one takes its
 // place: a reader that the store does not answer says so, and its followers and
-// the next candidate come to the same conclusion at the same time. Only a
-// candidate whose turn it is calls the store, so that calls grow with the number
-// of zones and not with that of instances. A reader is followed as long as it
-// reads. It steps down when the first candidate reads again.
+// the next candidate come to the same conclusion at the same time. One that does not
+// answer is noticed within 1.2 s; then all others are asked at once, so that any
+// number of lost instances costs the time of one. Only a candidate whose turn it is
+// calls the store, so that calls grow with the number of zones and not with that of
+// instances. A reader is followed as long as it reads. It steps down when the first
+// candidate reads again.
+//
+// What others say never keeps a zone from the store for long. While the store is
+// known not to answer, the first two candidates that can be reached try it each
+// 1.2 s, whoever they take for the reader; while it is not, an instance that got
+// nothing for 1.7 s reads the store itself. All this is decided by a state machine
+// without network or clock (election.go), which zonesim_test.go explores.
 //
 // An instance may also be followed while it follows another one. So an instance
 // that the store or the network keeps from its reader gets the state through a
--- a/internal/relay/find.go
+++ b/internal/relay/find.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"slices"
 	"time"
 
@@ -14,33 +15,56 @@
 const (
 	// maxAsked is the number of candidates of its own zone that an instance asks
 	// for their status at once, and maxAskedAtOnce the number of calls at a time.
-	maxAsked       = 8
-	maxAskedAtOnce = 4
+	maxAsked       = 11
+	maxAskedAtOnce = 16
 	// statusTimeout is how long an instance waits for a status.
 	statusTimeout = 300 * time.Millisecond
 )
 
-// source is an instance that may be followed, and its status.
+// source is an instance that was asked for its status.
 type source struct {
 	member loadshare.Member
 	status Status
+	err    error
 }
 
-// findFresh asks the first candidates of this zone and the first one of each
-// other zone for their status, and returns the one that is the closest to the
-// store among those worth following. An instance of this zone is preferred.
-func (sw *Switch) findFresh(ctx context.Context) (loadshare.Member, bool) {
+// isFresh reports whether the source is worth following.
+func (so source) isFresh() bool { return so.err == nil && so.status.check() == nil }
+
+// search asks the first candidates of this zone for their status, and the first one
+// of each other zone if the search is wide. It tells the election who answered, and
+// the one that is the closest to the store among those worth following. An instance
+// of this zone is preferred.
+func (sw *Switch) search(ctx context.Context) {
 	asked := slices.DeleteFunc(sw.candidates(), func(me loadshare.Member) bool { return me.Name == sw.Self.Name })
 	asked = asked[:min(len(asked), maxAsked)]
-	asked = append(asked, readersOf(sw.Members.List(), sw.Self, sw.Alive)...)
-	fresh := sw.askAll(ctx, asked)
-	if len(fresh) == 0 {
-		return loadshare.Member{}, false
+	if sw.el.searchesWide() {
+		asked = append(asked, readersOf(sw.Members.List(), sw.Self, sw.Alive)...)
+	}
+	answers := sw.askAll(ctx, asked)
+	ev := event{kind: searched}
+	for _, so := range answers {
+		switch {
+		case so.member.Zone != sw.Self.Zone:
+		case so.err != nil:
+			ev.silent = append(ev.silent, so.member.Name)
+		case errors.Is(so.status.check(), errUnable):
+			ev.unable = append(ev.unable, so.member.Name)
+		default:
+			ev.able = append(ev.able, so.member.Name)
+			ev.trying = ev.trying || so.status.Direct
+		}
+	}
+	fresh := slices.DeleteFunc(answers, func(so source) bool { return !so.isFresh() || sw.el.distrusts(so.status.Reader, sw.Clock.Now()) })
+	if len(fresh) > 0 {
+		best := slices.MinFunc(fresh, func(a, b source) int {
+			return cmp.Or(cmp.Compare(a.status.Hops, b.status.Hops), cmp.Compare(sw.distance(a), sw.distance(b)))
+		})
+		ev.found, ev.foundReader = sw.readerBehind(best).Name, best.status.Direct && best.member.Zone == sw.Self.Zone
+	}
+	if ctx.Err() == nil {
+		sw.handle(ev)
 	}
-	best := slices.MinFunc(fresh, func(a, b source) int {
-		return cmp.Or(cmp.Compare(a.status.Hops, b.status.Hops), cmp.Compare(sw.distance(a), sw.distance(b)))
-	})
-	return sw.readerBehind(best), true
 }
 
 // AdoptNewest brings the newest configuration into force that readers of other zones
@@ -68,8 +92,7 @@
 	return 1
 }
 
-// askAll returns those of the given instances that answer and are worth
-// following.
+// askAll asks the given instances for their status.
 func (sw *Switch) askAll(ctx context.Context, asked []loadshare.Member) []source {
 	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
 	defer cancel()
@@ -77,15 +100,14 @@
 	var eg errgroup.Group
 	eg.SetLimit(maxAskedAtOnce)
 	for ix, me := range asked {
-		answers[ix] = source{member: me, status: Status{ConfigurationAge: unknownAge}}
+		answers[ix].member = me
 		eg.Go(func() error {
-			return sw.call(ctx, me, "Status", None{}, &answers[ix].status)
+			answers[ix].err = sw.call(ctx, me, statusTimeout, "Status", None{}, &answers[ix].status)
+			return nil
 		})
 	}
 	_ = eg.Wait()
-	return slices.DeleteFunc(answers, func(so source) bool {
-		return so.status.check() != nil || so.status.Reader == sw.Self.Name
-	})
+	return answers
 }
 
 // readerBehind returns the instance that reads the store for a source in another
--- a/internal/relay/follow.go
+++ b/internal/relay/follow.go
@@ -16,19 +16,23 @@
 	// watchWait is how long a reader may hold a call open for a change, and
 	// relayedWatchWait how long an instance may that follows a reader itself. The
 	// latter is shorter because its state is older already.
-	watchWait        = time.Second
+	watchWait        = 500 * time.Millisecond
 	relayedWatchWait = 300 * time.Millisecond
-	// responseMargin is the time beyond these that a call may take.
+	// responseMargin is the time beyond these that a call may take. Within both, and
+	// the time of a search and of a list, the zone has to notice that its reader is
+	// lost and to replace it, whoever else is lost.
 	responseMargin = 700 * time.Millisecond
+	// immediateTimeout is how long a call may take that is answered at once, and
+	// contactTimeout how long the first call to a candidate may if this instance has
+	// state that it needs to renew.
+	immediateTimeout = 500 * time.Millisecond
+	contactTimeout   = 300 * time.Millisecond
 	// readyTimeout is how long a candidate that reads the store, or starts, may
 	// take until it can be followed, idleTimeout how long one may that does not
 	// read it yet, and readyPollInterval the interval at which they are asked.
 	readyTimeout      = 1500 * time.Millisecond
 	idleTimeout       = 500 * time.Millisecond
 	readyPollInterval = 100 * time.Millisecond
-	// urgentAge is the age of its own confirmation beyond which an instance does
-	// not wait for a candidate. Keys are accepted for about two seconds longer.
-	urgentAge = 3 * time.Second
 	// maxHops is the largest number of instances between a candidate and the
 	// store with which the candidate is followed.
 	maxHops = 2
@@ -47,17 +51,9 @@
 	errUnable    = errors.New("relay: the candidate cannot read the store")
 	errCircular  = errors.New("relay: the candidate follows this instance")
 	errTooFar    = errors.New("relay: too many instances between the candidate and the store")
-	errUrgent    = errors.New("relay: the candidate is not ready, and this instance cannot wait")
-	errOwnTurn   = errors.New("relay: this instance is now the reader of the zone")
-	errOtherTurn = errors.New("relay: another instance is now the reader of the zone")
+	errOtherTurn = errors.New("relay: another instance is to be followed now, or this one reads the store")
 )
 
-// isFailure reports whether follow returned because the candidate failed, and not
-// because another instance is to be followed first.
-func isFailure(err error) bool {
-	return !errors.Is(err, errOwnTurn) && !errors.Is(err, errOtherTurn) && !errors.Is(err, errUrgent)
-}
-
 // check returns an error if the sender of a status is not worth following.
 func (st Status) check() error {
 	stale := st.ConfigurationAge > maxConfigurationAge || st.EndpointsAge > maxEndpointsAge
@@ -75,49 +71,70 @@
 	}
 }
 
-// follow applies the updates of a candidate. It returns when a call fails, an
-// update shows that the candidate is not worth following, or its configuration
-// cannot be fetched. If own is set, the candidate is one of this zone: it may take
-// some time until its first good update, and follow also returns when another
-// instance is to be followed.
-func (sw *Switch) follow(ctx context.Context, me loadshare.Member, own bool) error {
-	begun := sw.Clock.Now()
+// follow applies the updates of a candidate until the election turns to something
+// else: a call fails, the candidate is not worth following, or it is another
+// instance's turn.
+func (sw *Switch) follow(ctx context.Context, me loadshare.Member) error {
 	qu := Query{Members: true}
 	following, retried := false, false
 	for ctx.Err() == nil {
 		up, err := sw.update(ctx, me, qu)
-		if own && !following && sw.Clock.Since(begun) < sw.readyWait(err) {
-			if sw.isUrgent() {
-				return errUrgent
-			}
-			sw.pause(ctx, readyPollInterval)
-			continue
-		}
 		if following && !retried && isReset(err) {
 			retried = true
 			continue
 		}
-		if err != nil {
-			sw.logLeft(ctx, me, following, err)
+		if ctx.Err() != nil {
+			break
+		}
+		sw.handle(sw.answer(me, up, err, following))
+		if !sw.el.follows(me.Name) {
+			err = cmp.Or(err, errOtherTurn)
+			sw.logLeft(me, following, err)
 			return err
 		}
+		if err != nil {
+			sw.pause(ctx, readyPollInterval)
+			continue
+		}
 		if !following {
 			following = true
 			sw.Logger.Info().Str("event", "reader_followed").Str("reader", me.Name).Int("hops", up.Hops).Msg("relay: following a reader")
 		}
 		qu, retried = nextQuery(up), false
-		if err := sw.handover(me, up, own); err != nil {
-			return err
+		if sw.el.proven != cmp.Or(up.Reader, me.Name) {
+			qu.Wait = readyPollInterval
 		}
 	}
 	return ctx.Err()
 }
 
+// answer returns the event of a candidate's answer. One that is followed already
+// gets no time to become ready.
+func (sw *Switch) answer(me loadshare.Member, up Update, err error, following bool) event {
+	ev := event{name: me.Name, reader: cmp.Or(up.Reader, me.Name), direct: up.Direct}
+	switch {
+	case err == nil:
+		ev.kind = updated
+	case errors.Is(err, errUnable):
+		ev.kind = unable
+	case errors.Is(err, errStale), sw.starting() && !following && peer.IsKind(err, peer.Unreachable):
+		ev.kind, ev.wait = notReady, readyTimeout
+	case errors.Is(err, errIdle), errors.Is(err, errCircular), errors.Is(err, errTooFar):
+		ev.kind, ev.wait = notReady, idleTimeout
+	default:
+		ev.kind = unreachable
+	}
+	if following {
+		ev.wait = 0
+	}
+	return ev
+}
+
 // logLeft logs why a candidate is not followed. During an outage there are many
 // that can't be followed, which is logged at level debug.
-func (sw *Switch) logLeft(ctx context.Context, me loadshare.Member, following bool, err error) {
+func (sw *Switch) logLeft(me loadshare.Member, following bool, err error) {
 	level := zerolog.DebugLevel
-	if following && ctx.Err() == nil {
+	if following && !errors.Is(err, errOtherTurn) {
 		level = zerolog.InfoLevel
 	}
 	sw.Logger.WithLevel(level).Str("event", "reader_left").Str("reader", me.Name).Bool("abroad", me.Zone != sw.Self.Zone).Err(err).Msg("relay: not following this candidate any more")
@@ -129,26 +146,6 @@
 	return peer.IsKind(err, peer.Lost) && !errors.Is(err, context.DeadlineExceeded)
 }
 
-// readyWait returns how long a candidate of this zone may answer with this error
-// until it is given up. It may be about to read the store, or to start.
-func (sw *Switch) readyWait(err error) time.Duration {
-	switch {
-	case errors.Is(err, errStale), sw.starting() && peer.IsKind(err, peer.Unreachable):
-		return readyTimeout
-	case errors.Is(err, errIdle), errors.Is(err, errCircular), errors.Is(err, errTooFar):
-		return idleTimeout
-	default:
-		return 0
-	}
-}
-
-// isUrgent reports whether the state of this instance is about to become
-// unusable.
-func (sw *Switch) isUrgent() bool {
-	age, confirmed := sw.State.Age()
-	return confirmed && age > urgentAge
-}
-
 // nextQuery returns the query that follows an update.
 func nextQuery(up Update) Query {
 	qu := Query{Epoch: up.Epoch, Sequence: up.Sequence, Members: true, MembersSequence: up.MembersSequence, Wait: watchWait}
@@ -158,27 +155,17 @@
 	return qu
 }
 
-// handover returns an error if, after an update of the candidate me, another
-// instance is to be followed. A reader is followed as long as it reads, even if
-// it is no longer the first candidate.
-func (sw *Switch) handover(me loadshare.Member, up Update, own bool) error {
-	switch {
-	case !own:
-		return nil
-	case sw.isFirst():
-		return errOwnTurn
-	case !up.Direct && sw.choose().Name != me.Name:
-		return errOtherTurn
-	default:
-		return nil
-	}
-}
-
 // update makes one call to a candidate and applies the answer.
 func (sw *Switch) update(ctx context.Context, me loadshare.Member, qu Query) (Update, error) {
 	begun := sw.Boot.Now()
 	var up Update
-	if err := sw.call(ctx, me, "Watch", qu, &up); err != nil {
+	timeout := immediateTimeout
+	if _, confirmed := sw.State.Age(); qu.Wait > readyPollInterval {
+		timeout = qu.Wait + responseMargin
+	} else if confirmed {
+		timeout = qu.Wait + contactTimeout
+	}
+	if err := sw.call(ctx, me, timeout, "Watch", qu, &up); err != nil {
 		return up, err
 	}
 	if err := up.status().check(); err != nil {
@@ -201,8 +188,8 @@
 	return up, err
 }
 
-func (sw *Switch) call(ctx context.Context, me loadshare.Member, method string, args, reply any) error {
-	ctx, cancel := context.WithTimeout(ctx, watchWait+responseMargin)
+func (sw *Switch) call(ctx context.Context, me loadshare.Member, timeout time.Duration, method string, args, reply any) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	return sw.Caller.Call(ctx, me.Address.String(), ServiceName+"."+method, args, reply)
 }
@@ -261,7 +248,7 @@
 // force if it is newer.
 func (sw *Switch) fetchFromReader(ctx context.Context, me loadshare.Member) error {
 	var te Text
-	if err := sw.call(ctx, me, "Configuration", None{}, &te); err != nil {
+	if err := sw.call(ctx, me, immediateTimeout, "Configuration", None{}, &te); err != nil {
 		return err
 	}
 	cf, err := sw.Decode(te.Source)
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -111,8 +111,9 @@
 	silentSince time.Duration
 	// failures is the number of calls about the configuration that failed since
 	// the last answered one, and failingSince the boot time of the first of them.
-	failures     int
-	failingSince time.Duration
+	// endedAt is the boot time at which the last call was answered or failed.
+	failures              int
+	failingSince, endedAt time.Duration
 	// lastAnswer is the boot time at which the last answered call about
 	// endpoints was sent; zero if there is none.
 	lastAnswer time.Duration
@@ -234,8 +235,9 @@
 // ConfigurationAnswered records that the store answered a call about the
 // configuration.
 func (lo *Log) ConfigurationAnswered() {
+	now := lo.Boot.Now()
 	lo.mu.Lock()
-	lo.failures = 0
+	lo.failures, lo.endedAt = 0, now
 	lo.mu.Unlock()
 	lo.observeSilence()
 }
@@ -248,17 +250,23 @@
 		lo.failingSince = now
 	}
 	lo.failures++
+	lo.endedAt = now
 	lo.mu.Unlock()
 	lo.noteSilence()
 }
 
-// failing returns the number of calls about the configuration that failed in a
-// row, and the time since the first of them.
-func (lo *Log) failing() (failures int, since time.Duration) {
+// calls describes the latest calls about the configuration: how many failed in a
+// row, the time since the first of them, and the time since any call ended.
+type calls struct {
+	failures        int
+	failing, silent time.Duration
+}
+
+func (lo *Log) configurationCalls() calls {
 	now := lo.Boot.Now()
 	lo.mu.Lock()
 	defer lo.mu.Unlock()
-	return lo.failures, now - lo.failingSince
+	return calls{failures: lo.failures, failing: now - lo.failingSince, silent: now - lo.endedAt}
 }
 
 // Wait answers a query as soon as there is a change, or without one after
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -426,7 +426,8 @@
 					return (&caller{log: &reader.log}).Call(t.Context(), "", method, args, reply)
 				}),
 			}
-			err := sw.follow(t.Context(), loadshare.Member{Name: "reader"}, false)
+			sw.el = election{self: "self", phase: following, source: "reader", alternative: true, until: time.Now().Add(time.Hour)}
+			err := sw.follow(t.Context(), loadshare.Member{Name: "reader"})
 			g.Expect(err).To(MatchError(ca.err))
 			g.Expect(calls).To(Equal(ca.calls))
 		})
--- a/internal/relay/zone_test.go
+++ b/internal/relay/zone_test.go
@@ -14,7 +14,6 @@
 	"github.com/rs/zerolog"
 
 	"filbertstall.example/filbertstall/internal/clocktest"
-	"filbertstall.example/filbertstall/internal/feed"
 	"filbertstall.example/filbertstall/internal/loadshare"
 	"filbertstall.example/filbertstall/internal/pause"
 	"filbertstall.example/filbertstall/internal/peer/peerfake"
@@ -41,6 +40,11 @@
 	// it answers none.
 	rejected map[string]bool
 	down     bool
+	// frozen are the instances that stand still: neither they nor calls to them get
+	// answers.
+	frozen map[string]bool
+	// removed is set once the entry of the endpoint is gone from the store.
+	removed bool
 	// latency is the time in which the store answers.
 	latency  time.Duration
 	version  int64
@@ -60,7 +64,7 @@
 }
 
 func newFleet(zones, perZone int) *fleet {
-	fl := &fleet{clock: clocktest.New(), boot: bubbleTime{start: time.Now()}, rejected: make(map[string]bool), version: 1, watchers: make(chan struct{})}
+	fl := &fleet{clock: clocktest.New(), boot: bubbleTime{start: time.Now()}, rejected: make(map[string]bool), frozen: make(map[string]bool), version: 1, watchers: make(chan struct{})}
 	fl.net = peerfake.New(fl.clock)
 	fl.net.IntraZoneDelay, fl.net.InterZoneDelay = 100*time.Microsecond, 1400*time.Microsecond
 	for zone := range zones {
@@ -89,7 +93,7 @@
 	mb.log = Log{Boot: fl.boot, Roster: &mb.roster, State: &mb.state, Members: &mb.members, Now: fl.clock.Now, Epoch: time.Now().UnixNano()}
 	fl.net.Listen(mb.self.Address.String(), mb.self.Zone, map[string]any{ServiceName: mb.log.Service()})
 	sw := &Switch{
-		Log: &mb.log, Caller: fl.net.Caller(mb.self.Address.String()), Self: mb.self, Members: &mb.members, Alive: fl.alive,
+		Log: &mb.log, Caller: freezing{mb: mb, Caller: fl.net.Caller(mb.self.Address.String())}, Self: mb.self, Members: &mb.members, Alive: fl.alive,
 		Configuration: storeReader{mb: mb, confirm: true}, Others: nil, Fetch: mb.fetch, Decode: decodeNumber,
 		Roster: &mb.roster, State: &mb.state, Clock: fl.clock, Boot: fl.boot, Logger: zerolog.Nop(),
 	}
@@ -233,6 +237,9 @@
 		begun := fl.boot.Now()
 		version, err := fl.call(sr.mb.self.Name)
 		pause.For(ctx, fl.clock, fl.currentLatency())
+		for fl.isFrozen(sr.mb.self.Name) && ctx.Err() == nil {
+			pause.For(ctx, fl.clock, 10*time.Millisecond)
+		}
 		if err != nil {
 			if sr.confirm {
 				sr.mb.log.ConfigurationFailed()
@@ -257,7 +264,7 @@
 			continue
 		}
 		if first {
-			sr.mb.roster.Reset([]feed.Object[roster.Endpoint]{{Name: "e1", Value: &roster.Endpoint{ID: "e1", Service: "s"}}})
+			sr.mb.roster.Reset(fl.endpoints())
 		}
 		sr.mb.roster.CallAnswered(begun)
 		sr.mb.log.CallAnswered(begun)
