relay: a follower that reads itself reports no outage that nobody saw

Cause: an instance that took a lost reader's place told the roster that the store had failed as soon as its own confirmation was older than 3 s. With a reader's answers up to 2 s old, that is so after a plain loss.

Change: it does so only if the store was found or said not to answer since.

--- a/internal/relay/direct.go
+++ b/internal/relay/direct.go
@@ -41,7 +41,8 @@
 	firstReplacedCheck = 500 * time.Millisecond
 	// lapseTime is the age of the store's last confirmation beyond which entries
 	// may be missing from the store because their endpoints could not renew them
-	// during an outage, if there was one.
+	// during an outage. That needs an outage: a reader that is lost leaves its
+	// followers with as old a confirmation, and then the store's list is right.
 	lapseTime = 3 * time.Second
 )
 
@@ -52,7 +53,7 @@
 func (sw *Switch) readDirectly(ctx context.Context) {
 	sw.Log.setRole(role{direct: true})
 	sw.Log.ConfigurationAnswered()
-	if age, confirmed := sw.State.Age(); confirmed && age > lapseTime {
+	if age, confirmed := sw.State.Age(); confirmed && age > lapseTime && (sw.el.knowsOutage() || sw.Log.StoreUnresponsive()) {
 		sw.Roster.CallFailed(errLongUnconfirmed)
 	}
 	sw.Logger.Info().Str("event", "reading_store").Msg("relay: reading the store for this zone")
--- a/internal/relay/handover_test.go
+++ b/internal/relay/handover_test.go
@@ -108,3 +108,21 @@
 		}
 	}
 }
+
+// The reader stands still, and an endpoint's entry is removed. The store did not fail:
+// who takes the reader's place does not keep the endpoint as after an outage, though
+// its own confirmation may be older than lapseTime by then.
+func TestTakeoverReportsNoOutage(t *testing.T) {
+	for offset := range 10 {
+		runFleet(t, 1, 2, func(g *WithT, fl *fleet) {
+			fl.set(func() { fl.latency = 200 * time.Millisecond })
+			time.Sleep(4*time.Second + time.Duration(offset)*100*time.Millisecond)
+			others := fl.freezeFirst(1)
+			g.Expect(others[0].roster.View().Ready("s")).To(HaveLen(1))
+			fl.set(func() { fl.removed = true })
+			time.Sleep(changeBound)
+			g.Expect(others[0].roster.View().Ready("s")).To(BeEmpty())
+			g.Expect(others[0].log.StoreUnresponsive()).To(BeFalse())
+		})
+	}
+}
