inquiry: a new process asks others for the newest configuration

Cause: only a process that sees the store's era rise looks for a newer version at others. A new one took the copy as the newest, and as confirmed.

Change: internal/inquiry. A process that starts asks a few instances at random (three at once, eight at most) for their version and fetches a newer one. Until then, for 250 ms at most, or 2 s if a newer version is known to exist, it refuses requests as not run. relay.Status tells the version, and whether the sender has ended its own inquiry; earlier builds ignore both, and their configuration is fetched.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -33,6 +33,9 @@
 	// MaxAges returns the limits on how old the store's confirmation of the
 	// configuration may be.
 	MaxAges func() MaxAges
+	// Informed reports whether this instance knows what others know. Until then it refuses
+	// all requests. If it is nil, it need not ask.
+	Informed func() bool
 	// Runs registers streams whose runs can be migrated. If nil, no run is
 	// migrated.
 	Runs Runs
@@ -143,6 +146,9 @@
 	if cf == nil || !proven {
 		return nil, refusal.New(refusal.NoConfiguration, "no configuration is known yet").WithRetryAfter(startRetryAfter)
 	}
+	if di.Informed != nil && !di.Informed() {
+		return nil, refusal.New(refusal.NoConfiguration, "this instance has just started and asks others for what they know").WithRetryAfter(startRetryAfter)
+	}
 	route, found := cf.Match(re.Host, re.Path)
 	if !found {
 		return nil, di.deny(age, refusal.New(refusal.NotFound, "no route for "+re.Host+re.Path))
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -23,6 +23,7 @@
 	"filbertstall.example/filbertstall/internal/hangup"
 	"filbertstall.example/filbertstall/internal/healthcheck"
 	"filbertstall.example/filbertstall/internal/ingress"
+	"filbertstall.example/filbertstall/internal/inquiry"
 	"filbertstall.example/filbertstall/internal/loadshare"
 	"filbertstall.example/filbertstall/internal/metric"
 	"filbertstall.example/filbertstall/internal/migration"
@@ -106,6 +107,7 @@
 	members     loadshare.Members
 	relay       relay.Log
 	relaySwitch relay.Switch
+	inquiry     inquiry.Inquiry
 	eras        feed.Eras
 	suspects    *suspicion.Registry
 	moveOrder   loadshare.MoveOrder
@@ -229,7 +231,8 @@
 	mover := &migration.Mover{Engines: engines, Roster: &gw.roster, Tracker: &gw.tracker, Clock: gw.Clock, Log: gw.Log, MoveOrder: &gw.moveOrder}
 	gw.rollouts = gw.buildRollouts(mover)
 	gw.roster = roster.Roster{Clock: gw.Clock, Log: gw.Log, OnLeave: mover.Evacuate, OnChange: gw.relay.Observe}
-	gw.relay = relay.Log{Boot: gw.Boot, Roster: &gw.roster, State: &gw.state, Members: &gw.members, Now: gw.Clock.Now, Epoch: gw.Clock.Now().UnixNano(), Eras: &gw.eras}
+	gw.relay = relay.Log{Boot: gw.Boot, Roster: &gw.roster, State: &gw.state, Members: &gw.members, Now: gw.Clock.Now, Epoch: gw.Clock.Now().UnixNano(), Eras: &gw.eras, Informed: gw.isInformed}
+	gw.buildInquiry()
 	if ro := gw.rollouts; ro != nil {
 		gw.relay.Orders = &ro.orders
 		gw.roster.OnChange = func() {
@@ -243,7 +246,7 @@
 	hangups := &hangup.Watcher{Clock: gw.Clock}
 	di := &dispatch.Dispatcher{
 		State: &gw.state, Roster: &gw.roster, Tracker: &gw.tracker, Gate: &gw.gate, Codec: gw.Adapter.Codec, Clock: gw.Clock, Log: gw.Log,
-		Budget: se.budget(gw.Clock, gw.instanceCount), MaxAges: gw.maxAges,
+		Budget: se.budget(gw.Clock, gw.instanceCount), MaxAges: gw.maxAges, Informed: gw.isInformed,
 		Runs: mover, Suspects: gw.suspects, Turns: turns{limiter: &gw.suspectLimiter}, Reachable: gw.pool.Reachable, Progress: engines.Progress, Paths: &gw.paths, Memory: gw.memory.bodies, Meter: &dispatch.Meter{Scope: gw.metrics.Scope},
 	}
 	if gw.rollouts != nil {
--- a/internal/gateway/share.go
+++ b/internal/gateway/share.go
@@ -40,6 +40,7 @@
 		panic(err)
 	}
 	known := make(chan struct{})
+	gw.inquiry.Registered = known
 	gw.relaySwitch = relay.Switch{
 		Log: &gw.relay, Caller: &peer.Client{}, Self: self, Members: &gw.members, Registered: known, Alive: exchange.IsAlive,
 		Configuration: gw.followConfiguration(), Others: append(gw.followOperators(), gw.followMembers()),
@@ -52,7 +53,7 @@
 			registry: gw.Adapter.Registry, source: gw.Adapter.Members, members: &gw.members, self: self, known: known, clock: gw.Clock, log: gw.Log,
 		},
 		exchange, peers, gw.suspects, &gw.engines,
-		&gw.relaySwitch,
+		&gw.inquiry, &gw.relaySwitch,
 	)
 }
 
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -93,6 +93,9 @@
 	Eras *feed.Eras
 	// Orders are the roll-outs. It is nil if operators order none.
 	Orders *Orders
+	// Informed reports whether this instance has asked others for what they know, after
+	// its start. If it is nil, it need not.
+	Informed func() bool
 
 	mu        sync.Mutex
 	endpoints history[roster.Endpoint]
@@ -133,11 +136,7 @@
 // Observe records the differences to the current state of Roster, State and
 // Members.
 func (lo *Log) Observe() {
-	vi := lo.Roster.View()
-	version := int64(0)
-	if cf := lo.State.Load(); cf != nil {
-		version = cf.Version
-	}
+	vi, version := lo.Roster.View(), lo.versionInForce()
 	silent, orders := lo.StoreUnresponsive(), lo.Orders.changes()
 	lo.mu.Lock()
 	defer lo.mu.Unlock()
@@ -153,6 +152,15 @@
 	}
 }
 
+// versionInForce returns the version of the configuration in force, or zero if there is
+// none.
+func (lo *Log) versionInForce() int64 {
+	if cf := lo.State.Load(); cf != nil {
+		return cf.Version
+	}
+	return 0
+}
+
 func (lo *Log) membersByName() map[string]loadshare.Member {
 	byName := make(map[string]loadshare.Member)
 	if lo.Members == nil {
--- a/internal/relay/service.go
+++ b/internal/relay/service.go
@@ -63,6 +63,11 @@
 	// confirmed the configuration and the endpoints.
 	ConfigurationAge time.Duration
 	EndpointsAge     time.Duration
+	// Version is one more than the version of the configuration in force, or one if there
+	// is none. Instances of earlier versions leave it zero.
+	Version int64
+	// Informed reports that the sender has run for long enough to know what others know.
+	Informed bool
 }
 
 // Status returns the state of this instance as a reader.
@@ -71,5 +76,7 @@
 	se.lo.mu.Lock()
 	defer se.lo.mu.Unlock()
 	*st = se.lo.status()
+	st.Version = se.lo.versionInForce() + 1
+	st.Informed = se.lo.Informed == nil || se.lo.Informed()
 	return nil
 }
--- a/internal/relay/switch.go
+++ b/internal/relay/switch.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -67,7 +69,11 @@
 	// is run again. It may be nil.
 	OnPanic func(name string, cause any)
 
-	started time.Time
+	// newestKnown is the newest version that Inquire was told of.
+	newestKnown atomic.Int64
+	// fetching is held while Inquire fetches a configuration.
+	fetching sync.Mutex
+	started  time.Time
 	// skipped maps candidates to the end of the time for which they are passed
 	// over. Only the goroutine of Run uses it.
 	skipped map[string]time.Time
