inquiry: a new process asks others which requests crash endpoints

Cause: a new process merged what others know for the first time 5 s after its start, from one random instance. It was ready after 45 ms.

--- a/internal/gateway/inquire.go
+++ b/internal/gateway/inquire.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 
+	"golang.org/x/sync/errgroup"
+
 	"filbertstall.example/filbertstall/internal/inquiry"
 	"filbertstall.example/filbertstall/internal/loadshare"
 )
@@ -17,7 +19,16 @@
 
 // askInstance asks one instance for what it knows and takes that over.
 func (gw *Gateway) askInstance(ctx context.Context, me loadshare.Member) (informed bool, err error) {
-	return gw.relaySwitch.Inquire(ctx, me)
+	var eg errgroup.Group
+	eg.Go(func() (err error) {
+		informed, err = gw.relaySwitch.Inquire(ctx, me)
+		return err
+	})
+	eg.Go(func() error { return gw.suspects.Pull(ctx, me.Address.String()) })
+	if err := eg.Wait(); err != nil {
+		return false, err
+	}
+	return informed, nil
 }
 
 // isInformed reports whether this instance may serve requests: it has asked others for
--- a/internal/suspicion/share.go
+++ b/internal/suspicion/share.go
@@ -192,13 +192,20 @@
 	if len(peers) == 0 {
 		return
 	}
+	// A peer that does not answer is asked again, or another one, after pullInterval.
+	_ = re.Pull(ctx, peers[rand.IntN(len(peers))])
+}
+
+// Pull merges the registry of the instance at a peer address.
+func (re *Registry) Pull(ctx context.Context, address string) error {
 	ctx, cancel := context.WithTimeout(ctx, peer.CallTimeout)
 	defer cancel()
 	var reply Reply
-	if re.Caller.Call(ctx, peers[rand.IntN(len(peers))], ServiceName+".All", &Query{}, &reply) != nil {
-		return
+	if err := re.Caller.Call(ctx, address, ServiceName+".All", &Query{}, &reply); err != nil {
+		return err
 	}
 	re.merge(reply.Cases)
+	return nil
 }
 
 // Query is the argument of Service.All.
