relay: record the present state in the order in which it was read

Cause: Log.Observe read the endpoints before it took the lock. A call that had read them earlier could record them after a later one, as if all had been removed. Followers of that reader had no endpoints until the next answer about endpoints, 3 s later.

Change: a lock is held while the state is read and recorded.

--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -97,6 +97,10 @@
 	// its start. If it is nil, it need not.
 	Informed func() bool
 
+	// observing is held while the present state is read and recorded, so that no earlier
+	// state is recorded after a later one.
+	observing sync.Mutex
+
 	mu        sync.Mutex
 	endpoints history[roster.Endpoint]
 	members   history[loadshare.Member]
@@ -136,6 +140,8 @@
 // Observe records the differences to the current state of Roster, State and
 // Members.
 func (lo *Log) Observe() {
+	lo.observing.Lock()
+	defer lo.observing.Unlock()
 	vi, version := lo.Roster.View(), lo.versionInForce()
 	silent, orders := lo.StoreUnresponsive(), lo.Orders.changes()
 	lo.mu.Lock()
