inquiry: a new process asks others for the limits of endpoints

Cause: statements of endpoints are told for 2.5 s after they have changed. A new process learnt a limit from the endpoint's first answer and sent all requests until then.

Change: Backpressure.All tells the statements that hold, and the inquiry merges them. Instances of earlier builds answer that they have no such method.

Result: platform.TestNewProcessKeepsRateLimit fails without the pull (20 requests within 0.3 s for 4) and passes; the other restart tests pass.

--- a/internal/backpressure/doc.go
+++ b/internal/backpressure/doc.go
@@ -6,7 +6,7 @@
 // a Permit for each call, for which the Registry of earlier signals is asked, and
 // reads the signal of each answer. Statements are bound to one process: those of an
 // endpoint that has restarted since are dropped. Instances tell each other the
-// statements that changed.
+// statements that changed. A process that starts asks others for those that hold (Pull).
 //
 // # Usage
 //
--- a/internal/gateway/inquire.go
+++ b/internal/gateway/inquire.go
@@ -25,6 +25,7 @@
 		return err
 	})
 	eg.Go(func() error { return gw.suspects.Pull(ctx, me.Address.String()) })
+	eg.Go(func() error { return gw.signals.Pull(ctx, gw.relaySwitch.Caller, me.Address.String()) })
 	if err := eg.Wait(); err != nil {
 		return false, err
 	}
--- a/internal/gateway/share.go
+++ b/internal/gateway/share.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 
+	"filbertstall.example/filbertstall/internal/backpressure"
 	"filbertstall.example/filbertstall/internal/concurrency"
 	"filbertstall.example/filbertstall/internal/controller"
 	"filbertstall.example/filbertstall/internal/dispatch"
@@ -33,7 +34,7 @@
 	err := errors.Join(
 		peers.Register(relay.ServiceName, gw.relay.Service()), peers.Register(suspicion.ServiceName, gw.suspects.Service()),
 		peers.Register(ratelimit.ServiceName, gw.allocator.Service()), peers.Register(concurrency.ServiceName, gw.slots.Service()),
-		peers.Register(reservation.ServiceName, gw.engines.Service()),
+		peers.Register(reservation.ServiceName, gw.engines.Service()), peers.Register(backpressure.ServiceName, gw.signals.Service()),
 	)
 	if err != nil {
 		// Register fails only for a service without suitable methods.
