--- a/internal/gateway/share.go
+++ b/internal/gateway/share.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 
+	"filbertstall.example/filbertstall/internal/backpressure"
 	"filbertstall.example/filbertstall/internal/concurrency"
 	"filbertstall.example/filbertstall/internal/controller"
 	"filbertstall.example/filbertstall/internal/dispatch"
@@ -33,13 +34,14 @@
 	err := errors.Join(
 		peers.Register(relay.ServiceName, gw.relay.Service()), peers.Register(suspicion.ServiceName, gw.suspects.Service()),
 		peers.Register(ratelimit.ServiceName, gw.allocator.Service()), peers.Register(concurrency.ServiceName, gw.slots.Service()),
-		peers.Register(reservation.ServiceName, gw.engines.Service()),
+		peers.Register(reservation.ServiceName, gw.engines.Service()), peers.Register(backpressure.ServiceName, gw.signals.Service()),
 	)
 	if err != nil {
 		// Register fails only for a service without suitable methods.
 		panic(err)
 	}
 	known := make(chan struct{})
+	gw.inquiry.Registered = known
 	gw.relaySwitch = relay.Switch{
 		Log: &gw.relay, Caller: &peer.Client{}, Self: self, Members: &gw.members, Registered: known, Alive: exchange.IsAlive,
 		Configuration: gw.followConfiguration(), Others: append(gw.followOperators(), gw.followMembers()),
@@ -54,7 +56,7 @@
 			registry: gw.Adapter.Registry, source: gw.Adapter.Members, members: &gw.members, self: self, known: known, clock: gw.Clock, log: gw.Log,
 		},
 		exchange, peers, gw.suspects, &gw.engines,
-		&gw.relaySwitch,
+		&gw.inquiry, &gw.relaySwitch,
 	)
 }
 
--- a/internal/relay/switch.go
+++ b/internal/relay/switch.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"slices"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -58,7 +60,11 @@
 	// is run again. It may be nil.
 	OnPanic func(name string, cause any)
 
-	started time.Time
+	// newestKnown is the newest version that Inquire was told of.
+	newestKnown atomic.Int64
+	// fetching is held while Inquire fetches a configuration.
+	fetching sync.Mutex
+	started  time.Time
 	// el decides what this instance does. Only the goroutine of Run uses it.
 	el election
 }
