--- a/internal/concurrency/concurrency_test.go
+++ b/internal/concurrency/concurrency_test.go
@@ -227,7 +227,12 @@
 	g.Expect(taken).To(BeTrue())
 	order := make(chan int, 3)
 	var wg sync.WaitGroup
-	for ix, maxWait := range []time.Duration{10 * time.Millisecond, 5 * time.Second, 5 * time.Second} {
+	waiting := func() int {
+		li.Allocator.mu.Lock()
+		defer li.Allocator.mu.Unlock()
+		return len(li.Allocator.endpoints[key{endpoint: "e3"}].waiting)
+	}
+	for ix, maxWait := range []time.Duration{time.Second, 5 * time.Second, 5 * time.Second} {
 		wg.Go(func() {
 			slot, _, taken := li.Take(t.Context(), one, maxWait, time.Minute)
 			if taken {
@@ -235,12 +240,10 @@
 				slot.End(false)
 			}
 		})
-		g.Eventually(func() int {
-			li.Allocator.mu.Lock()
-			defer li.Allocator.mu.Unlock()
-			return len(li.Allocator.endpoints[key{endpoint: "e3"}].waiting)
-		}, "2s", "1ms").Should(BeNumerically(">=", 1))
-		time.Sleep(30 * time.Millisecond)
+		g.Eventually(waiting, "2s", "1ms").Should(Equal(max(ix, 1)))
+		if ix == 0 {
+			g.Eventually(waiting, "5s", "1ms").Should(BeZero(), "the first stops waiting")
+		}
 	}
 	slot.End(false)
 	wg.Wait()
