--- a/internal/backpressure/share.go
+++ b/internal/backpressure/share.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"filbertstall.example/filbertstall/internal/peer"
@@ -58,8 +57,7 @@
 	defer cancel()
 	var reply Reply
 	err := ca.Call(ctx, address, ServiceName+".All", &Query{}, &reply)
-	var er *peer.Error
-	if errors.As(err, &er) && er.Kind == peer.Remote {
+	if peer.IsKind(err, peer.Remote) {
 		return nil
 	}
 	re.Merge(reply.Statements)
