dispatch: log why a permit did not allow a call

Cause: a call that its permit did not allow after the wait was logged and counted as permit_expired whatever the reason: an endpoint that had asked for a pause, become limited or full, or left could not be told from a pause of the process.

Change: the outcome is "permit_" with the kind of the error. permit_expired keeps its name for expired permits.

Result: TestRefusedPermitsAreLoggedByKind failed before for paused, limited, full and left ("how":"permit_expired" each) and passes now.

--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -228,12 +228,12 @@
 	return max(bound, 0) / time.Duration(1+max(ta.priority, 0))
 }
 
-// handleRefusedPermit handles a call that was not sent because its permit was no
-// longer valid, as after a pause of the process.
+// handleRefusedPermit handles a call that was not sent because its permit had expired, as
+// after a pause of the process, or because its endpoint must not get it any more.
 func (di *Dispatcher) handleRefusedPermit(ta *task, en roster.Endpoint, err error) result {
 	delete(ta.tried, en.ID)
 	ta.expiredPermits++
-	di.logFailedAttempt(ta, en, "permit_expired", err)
+	di.logFailedAttempt(ta, en, outcomeOfPermit(err), err)
 	if ta.expiredPermits < maxPermitAttempts && ta.remaining(di.Clock.Now()) > minAttemptTime {
 		return result{step: retry}
 	}
@@ -241,3 +241,13 @@
 	er.Dispatched = ta.ran > 0
 	return result{step: giveUp, refusal: er}
 }
+
+// outcomeOfPermit returns the outcome of an attempt that its permit did not allow, by the
+// kind of the error.
+func outcomeOfPermit(err error) string {
+	var er *backpressure.Error
+	if !errors.As(err, &er) {
+		return "permit_refused"
+	}
+	return "permit_" + string(er.Kind)
+}
--- a/internal/dispatch/limit_test.go
+++ b/internal/dispatch/limit_test.go
@@ -1,12 +1,14 @@
 package dispatch
 
 import (
+	"bytes"
 	"context"
 	"sync"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
 
 	"filbertstall.example/filbertstall/internal/backpressure"
 	"filbertstall.example/filbertstall/internal/refusal"
@@ -149,6 +151,38 @@
 	g.Expect(ha.received()).To(BeZero())
 }
 
+// Guards against a log that calls each call that its permit did not allow one whose permit
+// expired: endpoints that had become limited or full, or left, could not be told from pauses
+// of the process.
+func TestRefusedPermitsAreLoggedByKind(t *testing.T) {
+	e0 := roster.Endpoint{ID: "e0"}
+	turns := backpressure.Signal{Limit: backpressure.Limit{Rate: 2, Named: true}}
+	for kind, add := range map[backpressure.ErrorKind]func(*harness, *backpressure.Signal){
+		backpressure.Expired: func(ha *harness, _ *backpressure.Signal) { ha.boot.Advance(time.Hour) },
+		backpressure.Paused:  func(_ *harness, sg *backpressure.Signal) { sg.RetryAfter = time.Hour },
+		backpressure.Limited: func(_ *harness, sg *backpressure.Signal) { sg.Limit.Rate = 0 },
+		backpressure.Full:    func(_ *harness, sg *backpressure.Signal) { sg.Brittle = true },
+		backpressure.Left:    func(_ *harness, sg *backpressure.Signal) { sg.Leaving = true },
+	} {
+		t.Run(string(kind), func(t *testing.T) {
+			g := NewWithT(t)
+			ha := newHarness(t, limited)
+			var log bytes.Buffer
+			ha.Log = zerolog.New(&log)
+			cw := &changingWait{place: "turn", change: func() {
+				sg := turns
+				add(ha, &sg)
+				ha.Gate.Registry.Observe(e0, sg)
+			}}
+			ha.Gate.Limiter, ha.Gate.Slots = changingLimiter{cw}, changingSlots{cw}
+			ha.Gate.Registry.Observe(e0, turns)
+			ha.send("/post/x")
+			g.Expect(log.String()).To(ContainSubstring(`"how":"permit_` + string(kind) + `"`))
+			g.Expect(ha.received()).To(BeZero())
+		})
+	}
+}
+
 // advancingLimiter lets time pass while it is asked, like a pause of the process.
 type advancingLimiter struct {
 	*queueLimiter
