dispatch: a continued run asks for another permit

Cause: the call that continues a run waits for its turn. If its permit did not allow it after the wait (it had expired in a pause of the process, or the engine had asked for a short pause), the stream ended, though nothing was sent and the engine still kept the copy.

Change: session.sendResumed asks for another permit, three times and for 1.8 s at most in all; if the engine takes nothing by then, the stream ends at once. awaitPermit, which also waits for the end of a pause, serves both kinds of requests. A permit is released as soon as it is refused, and only the one with which the call was sent is released by the ticket.

--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -31,8 +31,8 @@
 	maxPauseSpread = 300 * time.Millisecond
 	// minLoggedWait is the shortest wait for an endpoint that is logged.
 	minLoggedWait = 20 * time.Millisecond
-	// maxPermitAttempts limits how often a request asks again after a permit expired
-	// before it was used.
+	// maxPermitAttempts limits how often a request asks for a permit because the one before
+	// did not allow its call after the wait.
 	maxPermitAttempts = 3
 )
 
@@ -141,7 +141,7 @@
 	}
 	after := list[0].after
 	for _, ca := range list[:min(len(list), maxQueues)] {
-		pe, err := di.awaitPermit(ctx, ta, ca.endpoint)
+		pe, err := di.awaitPermit(ctx, ta, ca.endpoint, di.terms(ta, ca.endpoint, ta.maxWait(di.Clock.Now())))
 		if ctx.Err() != nil {
 			pe.Release()
 			return destination{}, refusalOfLeft()
@@ -166,17 +166,19 @@
 	return refusal.New(refusal.CallerGone, "the caller left, or its time passed, before the request was sent")
 }
 
-// awaitPermit waits for a permit for a request to an endpoint, until it is valid.
-func (di *Dispatcher) awaitPermit(ctx context.Context, ta *task, en roster.Endpoint) (*backpressure.Permit, error) {
+// awaitPermit waits for a permit for a request to an endpoint, until it is valid, for at
+// most the time in its terms.
+func (di *Dispatcher) awaitPermit(ctx context.Context, ta *task, en roster.Endpoint, te backpressure.Terms) (*backpressure.Permit, error) {
 	begun := di.Clock.Now()
-	bound := ta.maxWait(begun)
-	pe, err := di.Gate.Request(ctx, en, di.terms(ta, en, bound))
+	pe, err := di.Gate.Request(ctx, en, te)
 	var er *backpressure.Error
-	if errors.As(err, &er) && er.Kind == backpressure.Paused && er.After < bound {
+	if errors.As(err, &er) && er.Kind == backpressure.Paused && er.After < te.MaxWait {
 		// The requests that wait for the end of a pause do not arrive all at once.
-		wait := er.After + rand.N(min(bound-er.After, maxPauseSpread))
+		wait := er.After + rand.N(min(te.MaxWait-er.After, maxPauseSpread))
 		pause.For(ctx, di.Clock, wait)
-		pe, err = di.Gate.Request(ctx, en, di.terms(ta, en, bound-wait))
+		rest := di.terms(ta, en, te.MaxWait-wait)
+		rest.HasRoom = te.HasRoom
+		pe, err = di.Gate.Request(ctx, en, rest)
 	}
 	if err != nil {
 		return nil, err
--- a/internal/dispatch/resume.go
+++ b/internal/dispatch/resume.go
@@ -5,10 +5,11 @@
 	"net/http"
 	"time"
 
+	"filbertstall.example/filbertstall/internal/backpressure"
 	"filbertstall.example/filbertstall/internal/migration"
-	"filbertstall.example/filbertstall/internal/pause"
 	"filbertstall.example/filbertstall/internal/placement"
 	"filbertstall.example/filbertstall/internal/roster"
+	"filbertstall.example/filbertstall/internal/upstream"
 )
 
 // maxMoves limits how often one stream is resumed.
@@ -76,8 +77,8 @@
 	return placement.Done
 }
 
-// maxResumeWait is the longest pause of a stream that waits for the rate limit of
-// the engine where it continues. Callers abandon a stream that pauses for longer.
+// maxResumeWait is the longest time for which a stream waits, in all, until the engine where
+// it continues takes it. Callers abandon a stream that pauses for longer.
 const maxResumeWait = 1800 * time.Millisecond
 
 // resume continues the run on the target of its move or takeover.
@@ -87,26 +88,7 @@
 	if mv.From.ID != mv.Target.ID && len(di.allows([]roster.Endpoint{mv.Target})) == 0 {
 		return errVersionStopped
 	}
-	te := di.terms(se.ta, mv.Target, maxResumeWait)
-	te.HasRoom = true
-	pe, err := di.Gate.Request(se.ctx, mv.Target, te)
-	if err != nil {
-		return err
-	}
-	mv.Ticket.OnEnd(pe.Release)
-	pause.For(se.ctx, di.Clock, di.Gate.Wait(pe))
-	se.standby.release()
-	se.standby = di.reserveStandby(se.ta, mv.Target, se.demand)
-	if se.run != nil {
-		se.run.SetStandby(se.standby.id())
-	}
-	at := Attempt{
-		Endpoint: mv.Target, Remaining: se.ta.remaining(di.Clock.Now()), Team: se.ta.team, PassCredential: se.ta.passCredential, Standby: se.standby.address(),
-		Resume: &Resume{Source: mv.From.Address, Handle: mv.Handle, LastEvent: se.lastEvent},
-	}
-	di.Budget.Force(se.ta.service.Name)
-	di.recordSent(mv.Target)
-	an, err := di.Gate.Do(se.ctx, pe, di.Codec.Call(se.ta.Request, at))
+	an, err := se.sendResumed(mv)
 	if err != nil {
 		return err
 	}
@@ -126,3 +108,48 @@
 	}
 	return nil
 }
+
+// sendResumed sends the call that continues the run, once the target takes it. A call that
+// its permit did not allow after the wait was not sent: it asks for another permit.
+func (se *session) sendResumed(mv migration.Moved) (*upstream.Answer, error) {
+	di := se.di
+	until := di.Clock.Now().Add(maxResumeWait)
+	for attempt := 1; ; attempt++ {
+		te := di.terms(se.ta, mv.Target, max(until.Sub(di.Clock.Now()), 0))
+		te.HasRoom = true
+		pe, err := di.awaitPermit(se.ctx, se.ta, mv.Target, te)
+		if err != nil {
+			return nil, err
+		}
+		if err := se.ctx.Err(); err != nil {
+			pe.Release()
+			return nil, err
+		}
+		di.Budget.Force(se.ta.service.Name)
+		di.recordSent(mv.Target)
+		an, err := di.Gate.Do(se.ctx, pe, di.Codec.Call(se.ta.Request, se.resumedAttempt(mv)))
+		if !backpressure.IsRefused(err) {
+			mv.Ticket.OnEnd(pe.Release)
+			return an, err
+		}
+		pe.Release()
+		di.logFailedAttempt(se.ta, mv.Target, outcomeOfPermit(err), err)
+		if attempt == maxPermitAttempts {
+			return nil, err
+		}
+	}
+}
+
+// resumedAttempt returns the attempt that continues the run, with another standby copy.
+func (se *session) resumedAttempt(mv migration.Moved) Attempt {
+	di, ta := se.di, se.ta
+	se.standby.release()
+	se.standby = di.reserveStandby(ta, mv.Target, se.demand)
+	if se.run != nil {
+		se.run.SetStandby(se.standby.id())
+	}
+	return Attempt{
+		Endpoint: mv.Target, Remaining: ta.remaining(di.Clock.Now()), Team: ta.team, PassCredential: ta.passCredential, Standby: se.standby.address(),
+		Resume: &Resume{Source: mv.From.Address, Handle: mv.Handle, LastEvent: se.lastEvent},
+	}
+}
--- /dev/null
+++ b/internal/dispatch/resume_test.go
@@ -0,0 +1,91 @@
+package dispatch
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"filbertstall.example/filbertstall/internal/backpressure"
+	"filbertstall.example/filbertstall/internal/roster"
+)
+
+// countedSlots counts the requests in progress that need no slot.
+type countedSlots struct {
+	changingSlots
+	entered, ended atomic.Int64
+}
+
+func (cs *countedSlots) Enter(roster.Endpoint) backpressure.Use {
+	cs.entered.Add(1)
+	return cs
+}
+
+func (cs *countedSlots) End(bool) { cs.ended.Add(1) }
+
+// resumingUnderLimit returns the stream of a run whose engine crashes and whose standby
+// copy is at an engine with a rate limit. While it waits there for the first time,
+// something changes.
+func resumingUnderLimit(t *testing.T, change func(ha *harness, en roster.Endpoint)) (*harness, *countedSlots, Reply) {
+	t.Helper()
+	ha := newHarness(t, crashes, crashes)
+	cs := &countedSlots{}
+	ha.Gate.Slots = cs
+	rp := ha.Serve(t.Context(), ha.longRequest())
+	ql := ha.limit(map[string]time.Duration{"e0": 5 * time.Millisecond, "e1": 5 * time.Millisecond})
+	ha.Gate.Limiter = changedLimiter{ql, func(en roster.Endpoint) {
+		if ql.given["e0"]+ql.given["e1"] == 0 {
+			change(ha, en)
+		}
+	}}
+	return ha, cs, rp
+}
+
+// changedLimiter lets something change while it is asked.
+type changedLimiter struct {
+	*queueLimiter
+	change func(roster.Endpoint)
+}
+
+func (cl changedLimiter) Take(ctx context.Context, en roster.Endpoint, limit backpressure.Limit, maxWait time.Duration) (time.Duration, bool) {
+	cl.change(en)
+	return cl.queueLimiter.Take(ctx, en, limit, maxWait)
+}
+
+// paused returns a change: the endpoint asks for a pause, which ends soon if ends is set.
+func paused(pause time.Duration, ends bool) func(*harness, roster.Endpoint) {
+	return func(ha *harness, en roster.Endpoint) {
+		ha.Gate.Registry.Observe(en, backpressure.Signal{RetryAfter: pause, Limit: backpressure.Limit{Rate: 2, Named: true}})
+		if ends {
+			time.AfterFunc(pause/2, func() { ha.boot.Advance(pause) })
+		}
+	}
+}
+
+// Guards against the end of a stream whose permit did not allow its call after the wait,
+// though nothing was sent and the engine takes the run soon.
+func TestResumedStreamAsksForAnotherPermit(t *testing.T) {
+	for _, ca := range []struct {
+		name   string
+		change func(*harness, roster.Endpoint)
+		want   string
+	}{
+		{"expired", func(ha *harness, _ roster.Endpoint) { ha.boot.Advance(3 * time.Second) }, numbered(1, 6)},
+		{"short pause", paused(100*time.Millisecond, true), numbered(1, 6)},
+		{"long pause", paused(time.Hour, false), numbered(1, 3)},
+	} {
+		t.Run(ca.name, func(t *testing.T) {
+			g := NewWithT(t)
+			ha, cs, rp := resumingUnderLimit(t, ca.change)
+			begun := time.Now()
+			got, _ := readEvents(rp)
+			g.Expect(got).To(Equal(ca.want))
+			g.Expect(ha.received()).To(Equal(len(got) / len(numbered(1, 3))))
+			g.Expect(time.Since(begun)).To(BeNumerically("<", maxResumeWait), "a hopeless one ends at once")
+			g.Expect(ha.Tracker.Loads()).To(BeEmpty())
+			g.Expect(cs.ended.Load()).To(Equal(cs.entered.Load()), "each permit is released once")
+		})
+	}
+}
