backpressure: judge a continued run by the present limit

Cause: a permit for a run that goes on where its copy is (HasRoom) was judged neither by brittleness nor by limits after its wait, since a refusal ended the stream. All runs that waited at an engine went on at the rate of an earlier limit after it had named a lower one.

Change: HasRoom exempts from brittleness alone (and, as before, from leaving and removal). TestResumedRunsKeepTheirPermits demanded the fault, that a limit named during the wait does not hold; TestResumedRunsAreJudgedByLimits takes its place with its case of brittleness and three of limits.

--- a/internal/backpressure/gate.go
+++ b/internal/backpressure/gate.go
@@ -109,7 +109,7 @@
 	// Lease is how long the request may last.
 	Lease time.Duration
 	// HasRoom is set if the endpoint keeps room for the request, as for a run whose copy
-	// it holds.
+	// it holds: the request needs no slot, and is sent although the endpoint leaves.
 	HasRoom bool
 	// IsCheck is set for health checks, which go to endpoints that get no requests, too.
 	IsCheck bool
--- a/internal/backpressure/judge.go
+++ b/internal/backpressure/judge.go
@@ -23,10 +23,7 @@
 		return err
 	}
 	switch {
-	case pe.terms.HasRoom:
-		// A stream is lost if the run that it waits for is not resumed.
-		return nil
-	case st.brittle && !pe.hasSlot:
+	case st.brittle && !pe.hasSlot && !pe.terms.HasRoom:
 		return &Error{Op: op, Endpoint: pe.endpoint.ID, Kind: Full}
 	case ga.Limiter != nil && !keepsTurn(pe.limit, pe.terms.limitWith(st.limit)):
 		return &Error{Op: op, Endpoint: pe.endpoint.ID, Kind: Limited}
--- a/internal/backpressure/judge_test.go
+++ b/internal/backpressure/judge_test.go
@@ -83,17 +83,32 @@
 	}
 }
 
-// A run that goes on at an endpoint which keeps room for it needs neither a slot nor
-// another turn if the endpoint becomes brittle or limited while it waits.
-func TestResumedRunsKeepTheirPermits(t *testing.T) {
-	g := NewWithT(t)
-	asked := 0
-	ga := newGate(fixedTransport{an: &upstream.Answer{Status: 200}}, &boottime.Manual{}, Signal{})
-	ga.Limiter, ga.Slots = fixedLimiter{asked: &asked}, oneSlot{taken: make(map[string]bool)}
-	en := roster.Endpoint{ID: "e1"}
-	pe, err := ga.Request(context.Background(), en, Terms{HasRoom: true})
-	g.Expect(err).NotTo(HaveOccurred())
-	ga.Registry.Observe(en, Signal{Brittle: true, Limit: Limit{Rate: 1, Named: true}})
-	_, err = ga.Do(context.Background(), pe, upstream.Call{})
-	g.Expect(err).NotTo(HaveOccurred())
+// Guards against runs that go on at an endpoint at the turns of an earlier limit: all of them
+// were sent after it had named a lower one. They need no slot, since the endpoint keeps room
+// for them.
+func TestResumedRunsAreJudgedByLimits(t *testing.T) {
+	for _, ca := range []struct {
+		name         string
+		before, says Signal
+		want         ErrorKind
+	}{
+		{"brittle", limitOf(5), Signal{Brittle: true, Limit: limitOf(5).Limit}, ""},
+		{"no limit any more", limitOf(5), Signal{}, ""},
+		{"a lower limit", limitOf(5), limitOf(0), Limited},
+		{"a first limit", Signal{}, limitOf(5), Limited},
+	} {
+		t.Run(ca.name, func(t *testing.T) {
+			g := NewWithT(t)
+			asked := 0
+			ga := newGate(fixedTransport{an: &upstream.Answer{Status: 200}}, &boottime.Manual{}, Signal{})
+			ga.Limiter, ga.Slots = fixedLimiter{taken: true, asked: &asked}, oneSlot{taken: make(map[string]bool)}
+			en := roster.Endpoint{ID: "e1"}
+			ga.Registry.Observe(en, ca.before)
+			pe, err := ga.Request(context.Background(), en, Terms{HasRoom: true})
+			g.Expect(err).NotTo(HaveOccurred())
+			ga.Registry.Observe(en, ca.says)
+			_, err = ga.Do(context.Background(), pe, upstream.Call{})
+			g.Expect(kindOf(err)).To(Equal(ca.want))
+		})
+	}
 }
--- a/internal/dispatch/resume_test.go
+++ b/internal/dispatch/resume_test.go
@@ -16,6 +16,8 @@
 type countedSlots struct {
 	changingSlots
 	entered, ended atomic.Int64
+	// turns is the number of turns that the limits gave out.
+	turns int
 }
 
 func (cs *countedSlots) Enter(roster.Endpoint) backpressure.Use {
@@ -36,7 +38,7 @@
 	rp := ha.Serve(t.Context(), ha.longRequest())
 	ql := ha.limit(map[string]time.Duration{"e0": 5 * time.Millisecond, "e1": 5 * time.Millisecond})
 	ha.Gate.Limiter = changedLimiter{ql, func(en roster.Endpoint) {
-		if ql.given["e0"]+ql.given["e1"] == 0 {
+		if cs.turns++; cs.turns == 1 {
 			change(ha, en)
 		}
 	}}
@@ -73,6 +75,9 @@
 		want   string
 	}{
 		{"expired", func(ha *harness, _ roster.Endpoint) { ha.boot.Advance(3 * time.Second) }, numbered(1, 6)},
+		{"limited", func(ha *harness, en roster.Endpoint) {
+			ha.Gate.Registry.Observe(en, backpressure.Signal{Limit: backpressure.Limit{Named: true}})
+		}, numbered(1, 6)},
 		{"short pause", paused(100*time.Millisecond, true), numbered(1, 6)},
 		{"long pause", paused(time.Hour, false), numbered(1, 3)},
 	} {
@@ -85,6 +90,7 @@
 			g.Expect(ha.received()).To(Equal(len(got) / len(numbered(1, 3))))
 			g.Expect(time.Since(begun)).To(BeNumerically("<", maxResumeWait), "a hopeless one ends at once")
 			g.Expect(ha.Tracker.Loads()).To(BeEmpty())
+			g.Expect(cs.turns).To(Equal(len(got)/len(numbered(1, 3))), "no call is sent at the first turn")
 			g.Expect(cs.ended.Load()).To(Equal(cs.entered.Load()), "each permit is released once")
 		})
 	}
