dispatch: ask whether a version was stopped after the wait of a run

Cause: session.resume asked before the wait whether the version of its target gets runs, not after it: a run went on at an engine whose version had been stopped meanwhile. Runs that go on from a standby copy were not asked about at all there, since their move names the engine of the copy as its source, too.

Change: sendResumed asks before and after each wait, by the engine that the stream comes from. A run that was moved goes back to its engine; the copy of a run whose engine crashed is not used, as in takeOver. The ticket of the engine that the run leaves is ended by the move as it was made: a run that goes back counted as lost by its engine.

--- a/internal/dispatch/resume.go
+++ b/internal/dispatch/resume.go
@@ -8,7 +8,6 @@
 	"filbertstall.example/filbertstall/internal/backpressure"
 	"filbertstall.example/filbertstall/internal/migration"
 	"filbertstall.example/filbertstall/internal/placement"
-	"filbertstall.example/filbertstall/internal/roster"
 	"filbertstall.example/filbertstall/internal/upstream"
 )
 
@@ -32,11 +31,9 @@
 		se.fail(cause)
 		return
 	}
-	mv = se.withSourceIfStopped(mv)
 	se.moves++
 	se.ticket.End(outcomeOfMove(mv))
 	if err := se.resume(mv); err != nil {
-		mv.Ticket.End(placement.Lost)
 		se.fail(errors.Join(err, cause))
 	}
 }
@@ -81,20 +78,19 @@
 // it continues takes it. Callers abandon a stream that pauses for longer.
 const maxResumeWait = 1800 * time.Millisecond
 
-// resume continues the run on the target of its move or takeover.
+// resume continues the run on the target of its move or takeover. If it returns an error,
+// the ticket of the target is ended.
 func (se *session) resume(mv migration.Moved) error {
 	di := se.di
-	// A run that was stopped at its own engine goes on there whatever its version is.
-	if mv.From.ID != mv.Target.ID && len(di.allows([]roster.Endpoint{mv.Target})) == 0 {
-		return errVersionStopped
-	}
-	an, err := se.sendResumed(mv)
+	an, mv, err := se.sendResumed(mv)
 	if err != nil {
+		mv.Ticket.End(placement.Lost)
 		return err
 	}
 	ve := di.Codec.Verdict(an)
 	if an.Status != http.StatusOK || !ve.Genuine {
 		an.Close()
+		mv.Ticket.End(placement.Lost)
 		return errStreamBroken
 	}
 	di.Log.Info().Str("event", "resumed").Str("request", se.ta.ID).Str("endpoint", se.endpoint.ID).
@@ -109,35 +105,45 @@
 	return nil
 }
 
-// sendResumed sends the call that continues the run, once the target takes it. A call that
-// its permit did not allow after the wait was not sent: it asks for another permit.
-func (se *session) sendResumed(mv migration.Moved) (*upstream.Answer, error) {
+// sendResumed sends the call that continues the run, once the target takes it, and returns
+// the move with the target that it was sent to. A call that its permit did not allow after
+// the wait was not sent: it asks for another permit.
+func (se *session) sendResumed(mv migration.Moved) (*upstream.Answer, migration.Moved, error) {
 	di := se.di
 	until := di.Clock.Now().Add(maxResumeWait)
-	for attempt := 1; ; attempt++ {
+	var refused error
+	for range maxPermitAttempts {
+		mv = se.withSourceIfStopped(mv)
+		if !se.mayGoOnAt(mv.Target) {
+			return nil, mv, errVersionStopped
+		}
 		te := di.terms(se.ta, mv.Target, max(until.Sub(di.Clock.Now()), 0))
 		te.HasRoom = true
 		pe, err := di.awaitPermit(se.ctx, se.ta, mv.Target, te)
 		if err != nil {
-			return nil, err
+			return nil, mv, err
 		}
 		if err := se.ctx.Err(); err != nil {
 			pe.Release()
-			return nil, err
+			return nil, mv, err
+		}
+		if !se.mayGoOnAt(mv.Target) {
+			pe.Release()
+			refused = errVersionStopped
+			continue
 		}
 		di.Budget.Force(se.ta.service.Name)
 		di.recordSent(mv.Target)
 		an, err := di.Gate.Do(se.ctx, pe, di.Codec.Call(se.ta.Request, se.resumedAttempt(mv)))
 		if !backpressure.IsRefused(err) {
 			mv.Ticket.OnEnd(pe.Release)
-			return an, err
+			return an, mv, err
 		}
 		pe.Release()
 		di.logFailedAttempt(se.ta, mv.Target, outcomeOfPermit(err), err)
-		if attempt == maxPermitAttempts {
-			return nil, err
-		}
+		refused = err
 	}
+	return nil, mv, refused
 }
 
 // resumedAttempt returns the attempt that continues the run, with another standby copy.
--- a/internal/dispatch/resume_test.go
+++ b/internal/dispatch/resume_test.go
@@ -1,7 +1,9 @@
 package dispatch
 
 import (
+	"cmp"
 	"context"
+	"strconv"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -95,3 +97,42 @@
 		})
 	}
 }
+
+// stoppedAt is a roll-out that allows no runs at one endpoint.
+type stoppedAt struct {
+	stoppable
+	endpoint string
+}
+
+func (st *stoppedAt) Allows(en roster.Endpoint) bool { return en.ID != st.endpoint }
+
+// Guards against a run that goes on at an engine whose version was stopped while it waited
+// there. A run that was moved goes back; the copy of one whose engine crashed is not used.
+func TestVersionIsStoppedWhileRunWaits(t *testing.T) {
+	for _, moves := range []bool{true, false} {
+		t.Run("moves "+strconv.FormatBool(moves), func(t *testing.T) {
+			g := NewWithT(t)
+			ha := newHarness(t, crashes, crashes)
+			st := &stoppedAt{}
+			ha.Rollouts = st
+			want := numbered(1, 3)
+			if moves {
+				ha.Roster.Leave("e1")
+				target, _ := ha.Roster.View().Get("e1")
+				ha.Runs = &moverOnce{harness: ha, target: target}
+				want = numbered(1, 6)
+			}
+			rp := ha.Serve(t.Context(), ha.longRequest())
+			ql := ha.limit(map[string]time.Duration{"e0": 0, "e1": 0})
+			ha.Gate.Limiter = changedLimiter{ql, func(en roster.Endpoint) { st.endpoint = cmp.Or(st.endpoint, en.ID) }}
+			got, _ := readEvents(rp)
+			g.Expect(got).To(Equal(want))
+			for _, rp := range ha.replicas {
+				if rp.id == st.endpoint {
+					g.Expect(rp.requestCount()).To(BeZero())
+				}
+			}
+			g.Expect(ha.Tracker.Loads()).To(BeEmpty())
+		})
+	}
+}
--- a/internal/dispatch/rollout.go
+++ b/internal/dispatch/rollout.go
@@ -109,11 +109,17 @@
 	di.Rollouts.Record(en, sa)
 }
 
+// mayGoOnAt reports whether the run may go on at an engine. At the engine where it was
+// stopped, it may whatever the version is.
+func (se *session) mayGoOnAt(en roster.Endpoint) bool {
+	return en.ID == se.endpoint.ID || len(se.di.allows([]roster.Endpoint{en})) > 0
+}
+
 // withSourceIfStopped returns a move by which a run goes on at the engine that it was
 // moved off, if the version of its target has been stopped meanwhile.
 func (se *session) withSourceIfStopped(mv migration.Moved) migration.Moved {
 	di := se.di
-	if len(di.allows([]roster.Endpoint{mv.Target})) > 0 || mv.From.ID == mv.Target.ID {
+	if mv.From.ID == mv.Target.ID || se.mayGoOnAt(mv.Target) {
 		return mv
 	}
 	if source, usable := di.Roster.View().Usable(mv.From.ID); !usable || source.Started != mv.From.Started || !di.Rollouts.Allows(source) {
