dispatch: no request with a suspected part is sent without a turn

Cause: a request took its turn only if a part of its prompt was suspected when it came. One whose part became suspected while it waited for an engine or at a limit was sent without one, beside others with the part. So was one whose part was suspected only at the version of the endpoint that was chosen, since the turn was judged by the version of the first endpoint.

Change: the task records the feature whose turn it has, until an attempt may have reached an endpoint. attempt judges once more: without the turn, the request gives its permit, grant and standby copy back and chooses again, by the version at which it lacked one, up to maxPermitAttempts as after a refused permit. A turn that was not used (expired permit, no connection) is kept instead of taking a second one. The attempt is logged as no_turn.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -94,9 +94,13 @@
 		de.release()
 		return result{step: giveUp, refusal: er}
 	}
-	if ju := di.judge(ta, en); ju.Verdict == suspicion.Refuse {
+	switch ju := di.judge(ta, en); {
+	case ju.Verdict == suspicion.Refuse:
 		de.release()
 		return result{step: giveUp, refusal: suspectRefusal(ta, ju)}
+	case di.lacksTurn(ta, ju):
+		de.release()
+		return di.handleMissingTurn(ta, en)
 	}
 	ta.markTried(en)
 	at := Attempt{Endpoint: en, Remaining: ta.remaining(di.Clock.Now()), Team: ta.team, PassCredential: ta.passCredential, Standby: de.standby.address(), MaxIdle: maxIdleNonIdempotent}
@@ -113,6 +117,7 @@
 	if err != nil {
 		return di.handleSendError(ctx, ta, en, ti, sentAt, err)
 	}
+	ta.turn = suspicion.Feature{}
 	if di.Paths != nil {
 		di.Paths.Reached(ta.service.Name, en.ID)
 	}
@@ -171,6 +176,7 @@
 		return result{step: giveUp, refusal: di.endedRefusal(ctx, ta, err)}
 	case upstream.Lost, upstream.Mismatched:
 	}
+	ta.turn = suspicion.Feature{}
 	ti.End(placement.Lost)
 	return di.handleLost(ta, en, err)
 }
--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -31,8 +31,8 @@
 	maxPauseSpread = 300 * time.Millisecond
 	// minLoggedWait is the shortest wait for an endpoint that is logged.
 	minLoggedWait = 20 * time.Millisecond
-	// maxPermitAttempts limits how often a request asks for a permit because the one before
-	// did not allow its call after the wait.
+	// maxPermitAttempts limits how often a request asks for a permit because its call was not
+	// sent after the wait.
 	maxPermitAttempts = 3
 )
 
@@ -60,7 +60,7 @@
 	}
 	ready := di.permitted(ta, usable)
 	if len(ready) > 0 {
-		if er := di.awaitTurn(ctx, ta, ready[0].Version, ta.maxWait(di.Clock.Now())); er != nil {
+		if er := di.awaitTurn(ctx, ta, ta.versionOfTurn(ready), ta.maxWait(di.Clock.Now())); er != nil {
 			return destination{}, er
 		}
 		ready = di.permitted(ta, usable)
@@ -234,9 +234,7 @@
 // after a pause of the process, or because its endpoint must not get it any more.
 func (di *Dispatcher) handleRefusedPermit(ta *task, en roster.Endpoint, err error) result {
 	delete(ta.tried, en.ID)
-	ta.expiredPermits++
-	di.logFailedAttempt(ta, en, outcomeOfPermit(err), err)
-	if ta.expiredPermits < maxPermitAttempts && ta.remaining(di.Clock.Now()) > minAttemptTime {
+	if di.mayChooseAgain(ta, en, outcomeOfPermit(err), err) {
 		return result{step: retry}
 	}
 	er := refusal.Wrap(refusal.RateLimited, "the request could not be sent while its permit was valid", err).WithRetryAfter(busyRetryAfter)
@@ -244,6 +242,14 @@
 	return result{step: giveUp, refusal: er}
 }
 
+// mayChooseAgain counts and logs an attempt that was not sent because of what changed while
+// it waited, and reports whether the task may choose an endpoint again.
+func (di *Dispatcher) mayChooseAgain(ta *task, en roster.Endpoint, outcome string, err error) bool {
+	ta.unsent++
+	di.logFailedAttempt(ta, en, outcome, err)
+	return ta.unsent < maxPermitAttempts && ta.remaining(di.Clock.Now()) > minAttemptTime
+}
+
 // outcomeOfPermit returns the outcome of an attempt that its permit did not allow, by the
 // kind of the error.
 func outcomeOfPermit(err error) string {
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -111,10 +111,9 @@
 	// arrivals is the number of attempts that may have reached an endpoint,
 	// including those that were rejected without running.
 	arrivals int
-	// expiredPermits counts attempts that were not sent because their permit had
-	// expired.
-	expiredPermits int
-	tried          map[string]bool
+	// unsent counts attempts that were not sent because of what changed while they waited.
+	unsent int
+	tried  map[string]bool
 	// forwards has the instances that the task was forwarded to. pathDoubtful is set if
 	// it is better forwarded than sent to another endpoint.
 	forwards     map[string]bool
@@ -127,6 +126,10 @@
 	// partFeatures are the features of the shared parts for partVersion. See parts.
 	partFeatures []suspicion.Feature
 	partVersion  string
+	// turn is the suspected feature whose turn the next attempt has, or zero. turnVersion is
+	// the version of the endpoint at which the last one lacked a turn.
+	turn        suspicion.Feature
+	turnVersion string
 }
 
 // Serve answers one request. Canceling ctx abandons the request. The caller
--- a/internal/dispatch/resume.go
+++ b/internal/dispatch/resume.go
@@ -8,6 +8,7 @@
 	"filbertstall.example/filbertstall/internal/backpressure"
 	"filbertstall.example/filbertstall/internal/migration"
 	"filbertstall.example/filbertstall/internal/placement"
+	"filbertstall.example/filbertstall/internal/suspicion"
 	"filbertstall.example/filbertstall/internal/upstream"
 )
 
@@ -137,6 +138,7 @@
 		an, err := di.Gate.Do(se.ctx, pe, di.Codec.Call(se.ta.Request, se.resumedAttempt(mv)))
 		if !backpressure.IsRefused(err) {
 			mv.Ticket.OnEnd(pe.Release)
+			se.ta.turn = suspicion.Feature{}
 			return an, mv, err
 		}
 		pe.Release()
--- a/internal/dispatch/suspect.go
+++ b/internal/dispatch/suspect.go
@@ -110,19 +110,53 @@
 		return nil
 	}
 	ju := di.Suspects.Judge(ta.parts(version)...)
-	if ju.Verdict != suspicion.Suspect {
+	if !di.lacksTurn(ta, ju) {
 		return nil
 	}
 	wait, taken := di.Turns.Take(ctx, ju.Feature, maxWait)
 	if !taken {
-		er := refusal.New(refusal.NotSentSuspect, "endpoints crashed under requests with a part of this prompt; others with it are sent one by one")
-		er.Dispatched = ta.ran > 0
-		return er.WithRetryAfter(spread(max(wait, busyRetryAfter)))
+		return turnRefusal(ta, wait)
 	}
 	pause.For(ctx, di.Clock, wait)
+	ta.turn = ju.Feature
 	return nil
 }
 
+// turnRefusal returns the refusal of a request that gets no turn in time.
+func turnRefusal(ta *task, after time.Duration) *refusal.Error {
+	er := refusal.New(refusal.NotSentSuspect, "endpoints crashed under requests with a part of this prompt; others with it are sent one by one")
+	er.Dispatched = ta.ran > 0
+	return er.WithRetryAfter(spread(max(after, busyRetryAfter)))
+}
+
+// lacksTurn reports whether, by a judgement, a task must not be sent without a turn that it
+// does not have.
+func (di *Dispatcher) lacksTurn(ta *task, ju suspicion.Judgement) bool {
+	return di.Turns != nil && ju.Verdict == suspicion.Suspect && ju.Feature.Kind == suspicion.KindPart && ju.Feature != ta.turn
+}
+
+// handleMissingTurn handles an attempt that is not sent because a part of its prompt became
+// suspected while it waited for something else, or is suspected only at the version of the
+// endpoint that was chosen.
+func (di *Dispatcher) handleMissingTurn(ta *task, en roster.Endpoint) result {
+	ta.turnVersion = en.Version
+	if di.mayChooseAgain(ta, en, "no_turn", nil) {
+		return result{step: retry}
+	}
+	return result{step: giveUp, refusal: turnRefusal(ta, 0)}
+}
+
+// versionOfTurn returns the version at which the task is judged for its turn: the one at
+// which it lacked a turn before, if an endpoint has it.
+func (ta *task) versionOfTurn(ready []roster.Endpoint) string {
+	for _, en := range ready {
+		if en.Version == ta.turnVersion {
+			return en.Version
+		}
+	}
+	return ready[0].Version
+}
+
 const (
 	// provenAfter is the time since the head of its answer after which a run that has
 	// made events shows that its parts are harmless. A part that crashes engines does so
--- a/internal/dispatch/suspect_test.go
+++ b/internal/dispatch/suspect_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"strconv"
 	"testing"
 	"time"
@@ -147,6 +148,65 @@
 	g.Expect(ha.received()).To(Equal(1))
 }
 
+// Guards against requests that are sent without a turn: a part of the prompt became suspected
+// while the request waited for something else, or is so only at the version that was chosen.
+// A turn that was not used is kept.
+func TestRequestsThatWaitedTakeTurns(t *testing.T) {
+	const part = "perhaps"
+	for _, ca := range []struct {
+		name    string
+		prepare func(ha *harness, crashes func(version string))
+	}{
+		{"wait for an engine", func(ha *harness, crashes func(string)) {
+			ha.Reserver = waiting{during: func() { crashes("") }, granted: "e0"}
+		}},
+		{"wait at a limit", func(ha *harness, crashes func(string)) {
+			wait := 5 * time.Millisecond
+			ha.Gate.Limiter = changedLimiter{ha.limit(map[string]time.Duration{"e0": wait, "e1": wait}), func(roster.Endpoint) { crashes("") }}
+		}},
+		{"another version", func(ha *harness, crashes func(string)) {
+			en, _ := ha.Roster.View().Get("e1")
+			en.Version = "v2"
+			ha.restart(en)
+			crashes("v2")
+			ha.Reserver = waiting{during: func() {}, granted: "e1"}
+		}},
+		{"permit that expires", func(ha *harness, crashes func(string)) {
+			crashes("")
+			asked := 0
+			ha.Gate.Limiter = changedLimiter{ha.limit(map[string]time.Duration{"e0": 0, "e1": 0}), func(roster.Endpoint) {
+				if asked++; asked == 1 {
+					ha.boot.Advance(time.Minute)
+				}
+			}}
+		}},
+	} {
+		for turns := range 2 {
+			t.Run(fmt.Sprint(ca.name, ", turns ", turns), func(t *testing.T) {
+				g := NewWithT(t)
+				ha := newHarness(t, events(1, 6, true), events(1, 6, true))
+				re, cs := ha.suspecting(), &countedSlots{}
+				tu := &oneByOne{waits: make([]time.Duration, turns)}
+				ha.Turns, ha.Gate.Slots = tu, cs
+				ca.prepare(ha, func(version string) { ha.crashesOf(re, version, part, 1) })
+				rp := ha.Serve(t.Context(), ha.withPart(part))
+				if turns == 0 {
+					g.Expect(reasonOf(rp)).To(Equal(refusal.NotSentSuspect))
+					g.Expect(rp.Refusal.Rule().Outcome).To(Equal(refusal.NotRun))
+				} else {
+					g.Expect(reasonOf(rp)).To(BeEmpty())
+					_, err := readEvents(rp)
+					g.Expect(err).NotTo(HaveOccurred())
+				}
+				g.Expect(ha.received()).To(Equal(turns))
+				g.Expect(tu.waits).To(BeEmpty())
+				g.Expect(ha.Tracker.Loads()).To(BeEmpty(), "neither the request nor its standby copy holds memory")
+				g.Expect(cs.ended.Load()).To(Equal(cs.entered.Load()))
+			})
+		}
+	}
+}
+
 // A lost link looks like a crash of the endpoint. An instance that reaches no other
 // endpoint of the service either had recorded crashes of sound ones, against any feature that
 // it had sent there.
