dispatch: one rule for requests that end while they wait

Cause: a request whose time passed while it waited at a limit or for an engine was refused as caller_gone, "the caller left, or its time passed", though endedBeforeSend knows which; one that ended while it waited for the turn of a suspected part, as not_sent_suspect. chooseEndpoint set only the end of a stopping instance right.

Change: chooseEndpoint tells each end by endedBeforeSend, which awaitEndpoint and reservationRefusal use, too. The text of their own is gone.

Result: TestRequestsThatEndWhileTheyWait failed before in four of nine cases (the three in which the time passes, and the caller that leaves during the wait for a turn) and passes now.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -138,8 +138,8 @@
 	return result{step: deliver, answer: an, verdict: ve, ticket: ti, sentAt: sentAt}
 }
 
-// endedBeforeSend returns the refusal of a request that ended before it was sent, as when
-// the process was paused: its caller left, its time passed, or the instance stops.
+// endedBeforeSend returns the refusal of a request that ended before it was sent, while it
+// waited or the process was paused: its caller left, its time passed, or the instance stops.
 func (di *Dispatcher) endedBeforeSend(ctx context.Context, ta *task) *refusal.Error {
 	er := refusal.New(refusal.DeadlinePassed, "the time of the request passed before it was sent")
 	switch cause := context.Cause(ctx); {
--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -43,8 +43,8 @@
 	ctx, cancel := di.Shutdown.WhileWaiting(ctx, func() shutdown.Request { return di.shutdownRequest(ta) })
 	defer cancel()
 	de, er := di.findEndpoint(ctx, ta, dm)
-	if er != nil && shutdown.IsCause(context.Cause(ctx)) {
-		er = di.stoppingRefusal(ta)
+	if er != nil && ctx.Err() != nil {
+		er = di.endedBeforeSend(ctx, ta)
 	}
 	return de, er
 }
@@ -144,7 +144,7 @@
 		pe, err := di.awaitPermit(ctx, ta, ca.endpoint, di.terms(ta, ca.endpoint, ta.maxWait(di.Clock.Now())))
 		if ctx.Err() != nil {
 			pe.Release()
-			return destination{}, refusalOfLeft()
+			return destination{}, di.endedBeforeSend(ctx, ta)
 		}
 		if err != nil {
 			after = laterOf(err, after)
@@ -161,11 +161,6 @@
 	return destination{}, er.WithRetryAfter(spread(max(after, busyRetryAfter)))
 }
 
-// refusalOfLeft returns the refusal of a request that ended while it waited.
-func refusalOfLeft() *refusal.Error {
-	return refusal.New(refusal.CallerGone, "the caller left, or its time passed, before the request was sent")
-}
-
 // awaitPermit waits for a permit for a request to an endpoint, until it is valid, for at
 // most the time in its terms.
 func (di *Dispatcher) awaitPermit(ctx context.Context, ta *task, en roster.Endpoint, te backpressure.Terms) (*backpressure.Permit, error) {
--- a/internal/dispatch/reserve.go
+++ b/internal/dispatch/reserve.go
@@ -30,7 +30,7 @@
 	if di.Reserver != nil && dm.Engine != nil && len(ready) > 0 {
 		gr, err := di.Reserver.Reserve(ctx, di.reservationOf(ta, dm, ready, exclude))
 		if err != nil {
-			return placement.Choice{}, nil, di.reservationRefusal(ta, err)
+			return placement.Choice{}, nil, di.reservationRefusal(ctx, ta, err)
 		}
 		// The request may have waited for seconds.
 		ready = di.stillUsable(ta, ready)
@@ -54,10 +54,10 @@
 }
 
 // reservationRefusal returns the refusal of a request that got no engine.
-func (di *Dispatcher) reservationRefusal(ta *task, err error) *refusal.Error {
+func (di *Dispatcher) reservationRefusal(ctx context.Context, ta *task, err error) *refusal.Error {
 	var er *reservation.Error
 	if !errors.As(err, &er) || er.Kind == reservation.Left {
-		return refusalOfLeft()
+		return di.endedBeforeSend(ctx, ta)
 	}
 	after := min(max(er.After, busyRetryAfter), max(ta.remaining(di.Clock.Now())/retryAfterDivisor, busyRetryAfter))
 	return refusal.Wrap(refusal.NoRoom, "the engines of "+ta.service.Name+" have no room in time", err).WithRetryAfter(spread(after))
