dispatch: judge a continued run by its suspicion after the wait

Cause: whether a run crashes engines was judged before it waited for its turn at the engine where it goes on, not after: a run that had just begun was sent there although a part of its prompt had been found guilty meanwhile, by crashes under other requests.

Change: sendResumed judges again after each wait: a run that has not gone on for half a second yet is not sent if it or a part is guilty at the version of the target, nor, after a crash of its own, if others have crashed with it since (the rule of mayTakeOver).

Result: TestPartIsBlamedWhileRunWaits failed before in both cases with three losses (moved, standby copy: the run went on) and passes now.

--- a/internal/dispatch/resume.go
+++ b/internal/dispatch/resume.go
@@ -128,6 +128,10 @@
 			pe.Release()
 			return nil, mv, err
 		}
+		if !se.isSafeAt(mv.Target) {
+			pe.Release()
+			return nil, mv, errRunSuspect
+		}
 		if !se.mayGoOnAt(mv.Target) {
 			pe.Release()
 			refused = errVersionStopped
--- a/internal/dispatch/resume_test.go
+++ b/internal/dispatch/resume_test.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"fmt"
 	"strconv"
 	"sync/atomic"
 	"testing"
@@ -136,3 +137,29 @@
 		})
 	}
 }
+
+// Guards against a run that goes on at another engine although it was found, while it waited
+// there, that engines crash under a part of its prompt.
+func TestPartIsBlamedWhileRunWaits(t *testing.T) {
+	for _, moves := range []bool{true, false} {
+		for losses, received := range map[int]int{0: 2, 3: 1} {
+			t.Run(fmt.Sprint("moves ", moves, ", losses ", losses), func(t *testing.T) {
+				g := NewWithT(t)
+				ha := newHarness(t, crashes, crashes)
+				re := ha.suspecting()
+				if moves {
+					ha.Roster.Leave("e1")
+					target, _ := ha.Roster.View().Get("e1")
+					ha.Runs = &moverOnce{harness: ha, target: target}
+				}
+				rp := ha.Serve(t.Context(), ha.withPart("bad"))
+				ql := ha.limit(map[string]time.Duration{"e0": 0, "e1": 0})
+				ha.Gate.Limiter = changedLimiter{ql, func(roster.Endpoint) { ha.crashesOf(re, "", "bad", losses) }}
+				_, err := readEvents(rp)
+				g.Expect(err == nil).To(Equal(losses == 0))
+				g.Expect(ha.received()).To(Equal(received))
+				g.Expect(ha.Tracker.Loads()).To(BeEmpty())
+			})
+		}
+	}
+}
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -13,6 +13,7 @@
 	"filbertstall.example/filbertstall/internal/placement"
 	"filbertstall.example/filbertstall/internal/roster"
 	"filbertstall.example/filbertstall/internal/shutdown"
+	"filbertstall.example/filbertstall/internal/suspicion"
 	"filbertstall.example/filbertstall/internal/upstream"
 )
 
@@ -33,6 +34,9 @@
 // gets no runs any more.
 var errVersionStopped = errors.New("dispatch: the version of the run's engine gets no runs any more")
 
+// errRunSuspect means that engines crash under runs like the one that was to go on.
+var errRunSuspect = errors.New("dispatch: engines crash under the run or a part of its prompt")
+
 // errStreamBroken is the read error of an incomplete stream.
 var errStreamBroken = errors.New("dispatch: stream interrupted and cannot be resumed")
 
@@ -104,6 +108,9 @@
 	// proven is set once the run has gone on for long enough to show that the parts of
 	// its prompt are harmless.
 	proven bool
+	// blamed are the features that a crash of the engine is held against, if the run goes on
+	// after one.
+	blamed []suspicion.Feature
 	// moves is the number of attempts to resume the stream.
 	moves int
 	// stall is nil if the stream is not watched for stalls.
--- a/internal/dispatch/suspect.go
+++ b/internal/dispatch/suspect.go
@@ -222,5 +222,16 @@
 	if di.Suspects.Judge(features...).Losses > 1 || di.awaitTurn(se.ctx, se.ta, se.endpoint.Version, maxResumeWait) != nil {
 		return false
 	}
-	return di.Suspects.Judge(features...).Losses <= 1
+	se.blamed = features
+	return se.isSafeAt(se.endpoint)
+}
+
+// isSafeAt reports whether, by what is known now, the run does not crash an engine. One that
+// has gone on for long enough does not.
+func (se *session) isSafeAt(en roster.Endpoint) bool {
+	di := se.di
+	if di.Suspects == nil || se.proven {
+		return true
+	}
+	return di.Suspects.Judge(se.blamed...).Losses <= 1 && di.judge(se.ta, en).Verdict != suspicion.Refuse
 }
