dispatch: calls that were not sent say nothing of their endpoint

Cause: a run that did not go on at an engine, since its permit was refused or its version stopped, counted there as lost, although nothing was sent: an engine that asks for a pause looked like one that fails. A new request whose permit was refused counted as done, which ends back-offs and clears the path to a zone.

Change: both end as Abandoned, which is no sign. A run whose connection could not be made counts as Unreachable.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -157,7 +157,7 @@
 // handleSendError handles a call that returned no answer.
 func (di *Dispatcher) handleSendError(ctx context.Context, ta *task, en roster.Endpoint, ti *placement.Ticket, sentAt time.Time, err error) result {
 	if backpressure.IsRefused(err) {
-		ti.End(placement.Done)
+		ti.End(placement.Abandoned)
 		return di.handleRefusedPermit(ta, en, err)
 	}
 	switch upstream.KindOf(err) {
--- a/internal/dispatch/outlier_test.go
+++ b/internal/dispatch/outlier_test.go
@@ -8,10 +8,12 @@
 	"testing"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	. "github.com/onsi/gomega"
 
 	"filbertstall.example/filbertstall/internal/feed"
 	"filbertstall.example/filbertstall/internal/placement"
+	"filbertstall.example/filbertstall/internal/refusal"
 	"filbertstall.example/filbertstall/internal/roster"
 )
 
@@ -80,3 +82,30 @@
 	g.Expect(rp.Status).To(Equal(http.StatusOK))
 	g.Expect(oc.list).To(HaveLen(3), "two in the own zone, one in the other")
 }
+
+// Guards against failures, or signs that an endpoint works, for calls that were not sent: an
+// engine that had asked for a pause counted as one that lost the run which was to go on there,
+// and a refused permit ended the back-off of an endpoint that could not be reached.
+func TestUnsentCallsAreNoSigns(t *testing.T) {
+	g := NewWithT(t)
+	ha, _, rp := resumingUnderLimit(t, paused(time.Hour, false))
+	var oc outcomes
+	ha.Tracker.Outliers = &oc
+	_, err := readEvents(rp)
+	g.Expect(err).To(HaveOccurred())
+	g.Expect(oc.list).To(HaveLen(1), "only the engine that crashed")
+
+	ha = newHarness(t, succeeds)
+	clock := clockwork.NewFakeClock()
+	ha.Tracker.Clock = clock
+	ql := ha.limit(map[string]time.Duration{"e0": 0})
+	ha.Gate.Limiter = advancingLimiter{ql, func() { ha.boot.Advance(time.Minute) }}
+	ha.Tracker.RecordOutcome("e0", placement.Unreachable)
+	clock.Advance(500 * time.Millisecond)
+	g.Expect(reasonOf(ha.send("/post/x"))).To(Equal(refusal.RateLimited))
+	ha.Gate.Limiter = ql
+	ha.State.Confirm(ha.boot.Now())
+	ha.Tracker.RecordOutcome("e0", placement.Unreachable)
+	clock.Advance(500 * time.Millisecond)
+	g.Expect(reasonOf(ha.send("/post/x"))).To(Equal(refusal.NoCapacity), "the second back-off is longer")
+}
--- a/internal/dispatch/resume.go
+++ b/internal/dispatch/resume.go
@@ -85,7 +85,7 @@
 	di := se.di
 	an, mv, err := se.sendResumed(mv)
 	if err != nil {
-		mv.Ticket.End(placement.Lost)
+		mv.Ticket.End(outcomeOfResume(err))
 		return err
 	}
 	ve := di.Codec.Verdict(an)
@@ -152,6 +152,20 @@
 	return nil, mv, refused
 }
 
+// outcomeOfResume returns the outcome at the target of a run that does not go on there. It
+// says nothing of an engine to which nothing was sent.
+func outcomeOfResume(err error) placement.Outcome {
+	var er *upstream.Error
+	switch {
+	case !errors.As(err, &er), er.Kind == upstream.Canceled:
+		return placement.Abandoned
+	case er.Kind == upstream.NotSent:
+		return placement.Unreachable
+	default:
+		return placement.Lost
+	}
+}
+
 // resumedAttempt returns the attempt that continues the run, with another standby copy.
 func (se *session) resumedAttempt(mv migration.Moved) Attempt {
 	di, ta := se.di, se.ta
--- a/internal/dispatch/rollout.go
+++ b/internal/dispatch/rollout.go
@@ -125,7 +125,7 @@
 	if source, usable := di.Roster.View().Usable(mv.From.ID); !usable || source.Started != mv.From.Started || !di.Rollouts.Allows(source) {
 		return mv
 	}
-	mv.Ticket.End(placement.Done)
+	mv.Ticket.End(placement.Abandoned)
 	mv.Target, mv.Ticket = mv.From, di.Tracker.Begin(mv.From, placement.Demand{})
 	if se.run != nil {
 		se.run.SetEndpoint(mv.From)
--- a/internal/placement/account.go
+++ b/internal/placement/account.go
@@ -20,7 +20,8 @@
 	// Unreachable means that no connection could be established.
 	Unreachable
 	// Abandoned means that the caller disconnected or the deadline passed before an
-	// answer began. It is no sign that the endpoint works, nor that it doesn't.
+	// answer began, or that nothing was sent. It is no sign that the endpoint works, nor
+	// that it doesn't.
 	Abandoned
 )
 
