dispatch: a run that goes on at its own engine is not lost there

Cause: a run that was stopped to be moved and goes on where it was, as the move failed, counted as lost by its engine: the outcome was that of a standby copy, whose move has one engine as source and target, too.

Change: the outcome is a loss only if the run goes on at another engine.

Result: TestRunThatStaysIsNotLost saw the loss before ("e0 3") and passes now.

--- a/internal/dispatch/outlier_test.go
+++ b/internal/dispatch/outlier_test.go
@@ -109,3 +109,17 @@
 	clock.Advance(500 * time.Millisecond)
 	g.Expect(reasonOf(ha.send("/post/x"))).To(Equal(refusal.NoCapacity), "the second back-off is longer")
 }
+
+// Guards against a loss of an engine that stopped a run by order, to move it, and goes on with
+// it since the move failed.
+func TestRunThatStaysIsNotLost(t *testing.T) {
+	g := NewWithT(t)
+	ha := newHarness(t, crashes)
+	en, _ := ha.Roster.View().Get("e0")
+	ha.Runs = &moverOnce{harness: ha, target: en}
+	var oc outcomes
+	ha.Tracker.Outliers = &oc
+	_, err := readEvents(ha.send("/stream/x"))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(oc.list).To(HaveEach("e0 " + strconv.Itoa(int(placement.Done))))
+}
--- a/internal/dispatch/resume.go
+++ b/internal/dispatch/resume.go
@@ -33,7 +33,7 @@
 		return
 	}
 	se.moves++
-	se.ticket.End(outcomeOfMove(mv))
+	se.ticket.End(se.outcomeOfMove(mv))
 	if err := se.resume(mv); err != nil {
 		se.fail(errors.Join(err, cause))
 	}
@@ -67,9 +67,10 @@
 }
 
 // outcomeOfMove returns the outcome of the attempt that a run leaves: its engine has lost
-// the run if it goes on from its standby copy.
-func outcomeOfMove(mv migration.Moved) placement.Outcome {
-	if mv.From.ID == mv.Target.ID {
+// the run if it goes on from its standby copy. A run that was stopped may also go on where
+// it was.
+func (se *session) outcomeOfMove(mv migration.Moved) placement.Outcome {
+	if mv.From.ID == mv.Target.ID && mv.Target.ID != se.endpoint.ID {
 		return placement.Lost
 	}
 	return placement.Done
