dispatch: a run does not wait for an engine that lost its copy

Cause: whether the engine of a standby copy has restarted was asked before the run waited for its turn there, not after, and never for the target of a move: the call was sent to a process that has no copy.

Change: judgeTarget asks before and after each wait, as for versions and suspicion. A run that was moved goes back to its engine, which keeps its memory, as when the version of its target is stopped (withUsableTarget, which was withSourceIfStopped).

--- a/internal/dispatch/resume.go
+++ b/internal/dispatch/resume.go
@@ -8,6 +8,7 @@
 	"filbertstall.example/filbertstall/internal/backpressure"
 	"filbertstall.example/filbertstall/internal/migration"
 	"filbertstall.example/filbertstall/internal/placement"
+	"filbertstall.example/filbertstall/internal/roster"
 	"filbertstall.example/filbertstall/internal/suspicion"
 	"filbertstall.example/filbertstall/internal/upstream"
 )
@@ -115,9 +116,9 @@
 	until := di.Clock.Now().Add(maxResumeWait)
 	var refused error
 	for range maxPermitAttempts {
-		mv = se.withSourceIfStopped(mv)
-		if !se.mayGoOnAt(mv.Target) {
-			return nil, mv, errVersionStopped
+		mv = se.withUsableTarget(mv)
+		if err := se.judgeTarget(mv.Target); err != nil {
+			return nil, mv, err
 		}
 		te := di.terms(se.ta, mv.Target, max(until.Sub(di.Clock.Now()), 0))
 		te.HasRoom = true
@@ -129,13 +130,8 @@
 			pe.Release()
 			return nil, mv, err
 		}
-		if !se.isSafeAt(mv.Target) {
-			pe.Release()
-			return nil, mv, errRunSuspect
-		}
-		if !se.mayGoOnAt(mv.Target) {
+		if refused = se.judgeTarget(mv.Target); refused != nil {
 			pe.Release()
-			refused = errVersionStopped
 			continue
 		}
 		di.Budget.Force(se.ta.service.Name)
@@ -153,6 +149,45 @@
 	return nil, mv, refused
 }
 
+// judgeTarget returns an error if the run must not go on at an engine by what is known now.
+func (se *session) judgeTarget(en roster.Endpoint) error {
+	switch {
+	case se.di.hasRestarted(en):
+		return errCopyLost
+	case !se.mayGoOnAt(en):
+		return errVersionStopped
+	case !se.isSafeAt(en):
+		return errRunSuspect
+	}
+	return nil
+}
+
+// hasRestarted reports whether another process has the ID of an engine now. It has neither
+// the runs nor the copies of the one before.
+func (di *Dispatcher) hasRestarted(en roster.Endpoint) bool {
+	now, known := di.Roster.View().Get(en.ID)
+	return known && now.Started != en.Started
+}
+
+// withUsableTarget returns a move by which a run goes on at the engine that it was moved off,
+// if its target has restarted meanwhile, or the target's version has been stopped.
+func (se *session) withUsableTarget(mv migration.Moved) migration.Moved {
+	di := se.di
+	if mv.From.ID == mv.Target.ID || se.mayGoOnAt(mv.Target) && !di.hasRestarted(mv.Target) {
+		return mv
+	}
+	source, usable := di.Roster.View().Usable(mv.From.ID)
+	if !usable || source.Started != mv.From.Started || len(di.allows([]roster.Endpoint{source})) == 0 {
+		return mv
+	}
+	mv.Ticket.End(placement.Abandoned)
+	mv.Target, mv.Ticket = mv.From, di.Tracker.Begin(mv.From, placement.Demand{})
+	if se.run != nil {
+		se.run.SetEndpoint(mv.From)
+	}
+	return mv
+}
+
 // outcomeOfResume returns the outcome at the target of a run that does not go on there. It
 // says nothing of an engine to which nothing was sent.
 func outcomeOfResume(err error) placement.Outcome {
--- a/internal/dispatch/resume_test.go
+++ b/internal/dispatch/resume_test.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"cmp"
 	"context"
 	"fmt"
 	"strconv"
@@ -107,34 +106,46 @@
 
 func (st *stoppedAt) Allows(en roster.Endpoint) bool { return en.ID != st.endpoint }
 
-// Guards against a run that goes on at an engine whose version was stopped while it waited
-// there. A run that was moved goes back; the copy of one whose engine crashed is not used.
-func TestVersionIsStoppedWhileRunWaits(t *testing.T) {
-	for _, moves := range []bool{true, false} {
-		t.Run("moves "+strconv.FormatBool(moves), func(t *testing.T) {
-			g := NewWithT(t)
-			ha := newHarness(t, crashes, crashes)
-			st := &stoppedAt{}
-			ha.Rollouts = st
-			want := numbered(1, 3)
-			if moves {
-				ha.Roster.Leave("e1")
-				target, _ := ha.Roster.View().Get("e1")
-				ha.Runs = &moverOnce{harness: ha, target: target}
-				want = numbered(1, 6)
-			}
-			rp := ha.Serve(t.Context(), ha.longRequest())
-			ql := ha.limit(map[string]time.Duration{"e0": 0, "e1": 0})
-			ha.Gate.Limiter = changedLimiter{ql, func(en roster.Endpoint) { st.endpoint = cmp.Or(st.endpoint, en.ID) }}
-			got, _ := readEvents(rp)
-			g.Expect(got).To(Equal(want))
-			for _, rp := range ha.replicas {
-				if rp.id == st.endpoint {
-					g.Expect(rp.requestCount()).To(BeZero())
+// Guards against a run that goes on at an engine whose version was stopped, or that restarted
+// and has no copy of it, while it waited there. A run that was moved goes back; the copy of
+// one whose engine crashed is not used.
+func TestTargetChangesWhileRunWaits(t *testing.T) {
+	for name, change := range map[string]func(*harness, roster.Endpoint){
+		"stopped": func(ha *harness, en roster.Endpoint) { ha.Rollouts = &stoppedAt{endpoint: en.ID} },
+		"restarted": func(ha *harness, en roster.Endpoint) {
+			en.Started++
+			ha.restart(en)
+		},
+	} {
+		for _, moves := range []bool{true, false} {
+			t.Run(name+", moves "+strconv.FormatBool(moves), func(t *testing.T) {
+				g := NewWithT(t)
+				ha := newHarness(t, crashes, crashes)
+				want := numbered(1, 3)
+				if moves {
+					ha.Roster.Leave("e1")
+					target, _ := ha.Roster.View().Get("e1")
+					ha.Runs = &moverOnce{harness: ha, target: target}
+					want = numbered(1, 6)
 				}
-			}
-			g.Expect(ha.Tracker.Loads()).To(BeEmpty())
-		})
+				rp := ha.Serve(t.Context(), ha.longRequest())
+				changed := ""
+				ha.Gate.Limiter = changedLimiter{ha.limit(map[string]time.Duration{"e0": 0, "e1": 0}), func(en roster.Endpoint) {
+					if changed == "" {
+						changed = en.ID
+						change(ha, en)
+					}
+				}}
+				got, _ := readEvents(rp)
+				g.Expect(got).To(Equal(want))
+				for _, rp := range ha.replicas {
+					if rp.id == changed {
+						g.Expect(rp.requestCount()).To(BeZero())
+					}
+				}
+				g.Expect(ha.Tracker.Loads()).To(BeEmpty())
+			})
+		}
 	}
 }
 
--- a/internal/dispatch/rollout.go
+++ b/internal/dispatch/rollout.go
@@ -5,8 +5,6 @@
 	"slices"
 	"time"
 
-	"filbertstall.example/filbertstall/internal/migration"
-	"filbertstall.example/filbertstall/internal/placement"
 	"filbertstall.example/filbertstall/internal/rollout"
 	"filbertstall.example/filbertstall/internal/roster"
 )
@@ -114,21 +112,3 @@
 func (se *session) mayGoOnAt(en roster.Endpoint) bool {
 	return en.ID == se.endpoint.ID || len(se.di.allows([]roster.Endpoint{en})) > 0
 }
-
-// withSourceIfStopped returns a move by which a run goes on at the engine that it was
-// moved off, if the version of its target has been stopped meanwhile.
-func (se *session) withSourceIfStopped(mv migration.Moved) migration.Moved {
-	di := se.di
-	if mv.From.ID == mv.Target.ID || se.mayGoOnAt(mv.Target) {
-		return mv
-	}
-	if source, usable := di.Roster.View().Usable(mv.From.ID); !usable || source.Started != mv.From.Started || !di.Rollouts.Allows(source) {
-		return mv
-	}
-	mv.Ticket.End(placement.Abandoned)
-	mv.Target, mv.Ticket = mv.From, di.Tracker.Begin(mv.From, placement.Demand{})
-	if se.run != nil {
-		se.run.SetEndpoint(mv.From)
-	}
-	return mv
-}
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -34,6 +34,9 @@
 // gets no runs any more.
 var errVersionStopped = errors.New("dispatch: the version of the run's engine gets no runs any more")
 
+// errCopyLost means that the engine where a run was to go on has restarted.
+var errCopyLost = errors.New("dispatch: the run's engine has restarted and has no copy of it")
+
 // errRunSuspect means that engines crash under runs like the one that was to go on.
 var errRunSuspect = errors.New("dispatch: engines crash under the run or a part of its prompt")
 
