ingress: a request whose time passed unsent is answered 408

Callers saw 504 for requests that had waited, or whose process was paused, until their time had passed. 504 promises nothing, though the request has certainly not run (refusal.DeadlinePassed, outcome not_run); 408, as waiting requests had before endedBeforeSend was used for them, does.

TestPromisedStatus asks, for all reasons, that a refusal with the outcome not_run has a status that says so; it failed for deadline_passed before ("status 504 hides that the request has not run") and passes now.

--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -263,12 +263,16 @@
 
 // refuse writes the instance's own answer. If the status of the refusal's rule
 // implies that the request has not run but its outcome does not guarantee that,
-// refuse uses the status 502 instead.
+// refuse uses the status 502 instead. If its time passed before it was sent, refuse uses
+// the status 408, which implies that it has not run, as 504 does not.
 func refuse(ctx *fasthttp.RequestCtx, re *dispatch.Request, er *refusal.Error) {
 	ru := er.Rule()
 	status := ru.Status
-	if ru.Outcome != refusal.NotRun && impliesNotRun(status) {
+	switch {
+	case ru.Outcome != refusal.NotRun && impliesNotRun(status):
 		status = http.StatusBadGateway
+	case ru.Outcome == refusal.NotRun && status == http.StatusGatewayTimeout:
+		status = http.StatusRequestTimeout
 	}
 	ctx.SetStatusCode(status)
 	if ru.RetryAfter > 0 && impliesNotRun(status) {
--- a/internal/ingress/server_test.go
+++ b/internal/ingress/server_test.go
@@ -218,6 +218,9 @@
 			if !impliesNotRun(ctx.Response.StatusCode()) && len(ctx.Response.Header.Peek("Retry-After")) > 0 {
 				t.Errorf("%s: Retry-After for a request that may have run", reason)
 			}
+			if er.Rule().Outcome == refusal.NotRun && ctx.Response.StatusCode() >= 500 && !impliesNotRun(ctx.Response.StatusCode()) {
+				t.Errorf("%s: status %d hides that the request has not run", reason, ctx.Response.StatusCode())
+			}
 		}
 	}
 }
