lease: a renewal without effect is not a loss of the lease

Cause: after a write with a lost response, readBack took the unchanged record for that of another instance and reported taken. The holder gave up its lease at once, and nobody may take it until the term of the last renewal has passed. A store that answers reads and fails writes with 500 for the four attempts of the Guard is enough.

Change: an unchanged version shows nothing. The holder keeps the lease, and the next step tries again.

TestHolderKeepsLeaseAfterRenewalWithoutEffect fails before ("renew ...: taken: ... conflict: ... unknown: answer lost") and passes now.

--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -198,7 +198,7 @@
 	defer le.endWrite()
 	version, err := le.Store.Update(ctx, le.Key, previous, data)
 	if platform.IsKind(err, platform.Unknown) {
-		version, err = le.readBack(ctx, next, err)
+		version, err = le.readBack(ctx, previous, next, err)
 	}
 	if err != nil {
 		return le.handleUpdateError(op, err)
@@ -219,10 +219,11 @@
 }
 
 // readBack reads the record to determine whether a write with a lost response
-// took effect, and returns its version if it did.
-func (le *Lease) readBack(ctx context.Context, next Record, lost error) (int64, error) {
+// took effect, and returns its version if it did. A record that is unchanged
+// shows nothing, because the write may arrive later.
+func (le *Lease) readBack(ctx context.Context, previous int64, next Record, lost error) (int64, error) {
 	ob, err := le.Store.Get(ctx, le.Key)
-	if err != nil {
+	if err != nil || ob.Version == previous {
 		return 0, lost
 	}
 	var re Record
