lease: no two holders after an answer that was lost

Cause: a renewal whose answer was lost and that was sent again, after the list of leases had failed, had the same record. If the first one had taken effect, the holder found its record and measured the term from the second, up to 3.5 s too late; another instance may take the lease before that.

Change: each attempt has a sequence number of its own, so that the record shows which one took effect. For one that is not the last, the term starts with the first. Instances of earlier builds read the numbers as before.

--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -56,10 +56,11 @@
 	holding bool
 	// released is set for good once Release was called.
 	released bool
-	// pending is a write, sent at pendingAt, that may or may not have taken
-	// effect.
-	pending   Record
-	pendingAt time.Time
+	// pending is the last of the writes that may or may not have taken effect,
+	// pendingAt when it was sent, and firstPendingAt when the first of them was.
+	pending        Record
+	pendingAt      time.Time
+	firstPendingAt time.Time
 	// writing is closed at the end of the write that is in progress, and nil if
 	// there is none.
 	writing chan struct{}
@@ -126,6 +127,8 @@
 	switch {
 	case version != 0 && re == le.pending:
 		le.heldAt, le.holding = le.pendingAt, !le.released
+	case version != 0 && le.isEarlierPending(re):
+		le.heldAt, le.holding = le.firstPendingAt, !le.released
 	case le.holding && re != le.stored:
 		le.holding = false
 	}
@@ -134,6 +137,13 @@
 	le.maxEpoch = max(le.maxEpoch, re.Epoch)
 }
 
+// isEarlierPending reports whether the record is one of the pending writes
+// before the last. The caller holds mu.
+func (le *Lease) isEarlierPending(re Record) bool {
+	return re.Holder == le.Holder && re.Epoch == le.pending.Epoch && re.Sequence < le.pending.Sequence &&
+		(re.Epoch != le.stored.Epoch || re.Sequence > le.stored.Sequence)
+}
+
 // TakeOrRenew takes or renews the lease if that is due. It does nothing before
 // the first Observe.
 func (le *Lease) TakeOrRenew(ctx context.Context) error {
@@ -157,15 +167,24 @@
 		if elapsed(le.heldAt, now) < RenewInterval {
 			return Record{}, ""
 		}
-		next = le.stored
-		next.Sequence++
-		return next, "renew"
+		return le.withNewSequence(le.stored), "renew"
 	}
 	le.holding = false
 	if !le.isFree() && now.Sub(le.seenAt) < Term+Margin {
 		return Record{}, ""
 	}
-	return Record{Holder: le.Holder, Address: le.Address, Epoch: le.maxEpoch + 1, Sequence: 1}, "take"
+	return le.withNewSequence(Record{Holder: le.Holder, Address: le.Address, Epoch: le.maxEpoch + 1}), "take"
+}
+
+// withNewSequence returns a copy with a sequence number that no pending write
+// has. If two of them were equal, it could not be known which one took effect,
+// and so when the term started. The caller holds mu.
+func (le *Lease) withNewSequence(re Record) Record {
+	if re.Epoch == le.pending.Epoch {
+		re.Sequence = max(re.Sequence, le.pending.Sequence)
+	}
+	re.Sequence++
+	return re
 }
 
 // isFree reports whether the lease may be taken without waiting for the end of a
@@ -192,6 +211,9 @@
 		return nil
 	}
 	previous, sentAt := le.version, le.Clock.Now()
+	if (le.pending == Record{}) {
+		le.firstPendingAt = sentAt
+	}
 	le.pending, le.pendingAt = next, sentAt
 	le.writing = make(chan struct{})
 	le.mu.Unlock()
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -106,6 +106,9 @@
 			"step": func(t *rapid.T) {
 				_ = co.leases[rapid.IntRange(0, instances-1).Draw(t, "instance")].Step(t.Context())
 			},
+			"step without a read": func(t *rapid.T) {
+				_ = co.leases[rapid.IntRange(0, instances-1).Draw(t, "instance")].TakeOrRenew(t.Context())
+			},
 			"pass": func(t *rapid.T) {
 				co.advance(time.Duration(rapid.IntRange(10, 4000).Draw(t, "ms")) * time.Millisecond)
 			},
--- a/internal/lease/record.go
+++ b/internal/lease/record.go
@@ -13,7 +13,8 @@
 	Address string `json:"address"`
 	// Epoch increases with each change of the holder. It is the fencing token.
 	Epoch int64 `json:"epoch"`
-	// Sequence counts the writes within an epoch.
+	// Sequence increases with each write within an epoch. A write that fails may
+	// leave a gap.
 	Sequence int64 `json:"sequence"`
 }
 
