allocation: a lease's holder is a process, not an instance

Cause: package lease wants a holder name that is unique for each process; the allocator gave it the instance's name. Since a release no longer needs to hold the lease, a process that replaces a paused one of the same name and is stopped released its predecessor's lease, and a third instance could take it while the predecessor still held it. The reverse, a late release of the predecessor's, would release the successor's lease.

Change: the name ends with the start of the process. It is compared with nothing else; instances of earlier builds take it as before.

TestLeaveReleasesNoPredecessorsLease fails before (the record is released) and passes now.

--- a/internal/allocation/granter.go
+++ b/internal/allocation/granter.go
@@ -127,7 +127,13 @@
 // newKey returns a key that is unique among all Acquire calls of all
 // instances.
 func (gt *Granter) newKey() string {
-	return gt.Instance + "-" + strconv.FormatInt(gt.began.UnixNano(), 36) + "-" + strconv.FormatInt(gt.serial.Add(1), 36)
+	return gt.processName() + "-" + strconv.FormatInt(gt.serial.Add(1), 36)
+}
+
+// processName returns a name that a later process of the same instance does not
+// have.
+func (gt *Granter) processName() string {
+	return gt.Instance + "-" + strconv.FormatInt(gt.began.UnixNano(), 36)
 }
 
 // viewsOf returns the member views of a zone, which are empty if the zone is
--- a/internal/allocation/handover_test.go
+++ b/internal/allocation/handover_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"slices"
 	"sync"
 	"testing"
@@ -9,6 +10,8 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"filbertstall.example/filbertstall/internal/lease"
 )
 
 // handoverSeeds is the number of simulations from which the reported figures
@@ -122,3 +125,29 @@
 	gm.Expect(withoutHolder).To(BeNumerically("<", 3*time.Second))
 	gm.Expect(failed).To(BeZero())
 }
+
+// Guards against two holders at once: a process that replaces a paused one of
+// the same name released its predecessor's lease when it stopped.
+func TestLeaveReleasesNoPredecessorsLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		gm := NewWithT(t)
+		wo := newWorld(1, []string{"a"}, 1, 1)
+		ctx, cancel := context.WithCancel(t.Context())
+		wo.start(ctx)
+		time.Sleep(10 * time.Second)
+		gr, first := Group{"a", service}, wo.instances[0]
+		gm.Expect(first.holds(gr)).To(BeTrue())
+		successor := wo.newInstance(first.name, "a")
+		successor.configuration.Store(first.configuration.Load())
+		successor.gt.prepare()
+		successor.gt.keepLeases(ctx)
+		successor.gt.Leave(ctx)
+		ob, err := wo.store.Get(ctx, gr.Key())
+		gm.Expect(err).NotTo(HaveOccurred())
+		var re lease.Record
+		gm.Expect(json.Unmarshal(ob.Value, &re)).To(Succeed())
+		gm.Expect(re.Released()).To(BeFalse())
+		cancel()
+		time.Sleep(10 * time.Second)
+	})
+}
--- a/internal/allocation/run.go
+++ b/internal/allocation/run.go
@@ -149,7 +149,7 @@
 	defer gt.mu.Unlock()
 	le, found := gt.leases[gr]
 	if !found {
-		le = &lease.Lease{Store: gt.Store, Clock: gt.Clock, Key: gr.Key(), Holder: gt.Instance, Address: gt.Address}
+		le = &lease.Lease{Store: gt.Store, Clock: gt.Clock, Key: gr.Key(), Holder: gt.processName(), Address: gt.Address}
 		gt.leases[gr] = le
 	}
 	return le
