daemon: a silent store does not delay the refusal of new requests

Cause: shutDown announced the stop (1 s at most) and released the leases, each to its end, before it stopped the entry server. A store that does not answer writes kept the instance ready and taking requests for up to the whole stop timeout; then the server stopped with an expired context and cut all of them. Requests that were in progress at SIGTERM had their time in either order.

Change: the three run at once, and the process waits for all. Each ends with the stop timeout.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -10,6 +10,7 @@
 	"context"
 	"encoding/hex"
 	"os"
+	"sync"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -105,6 +106,10 @@
 	return gr.Run(runCtx)
 }
 
+// shutDown refuses new requests, announces the stop and releases the leases at
+// once, because peers or a store that do not answer must not delay the refusals.
+// The order is of no importance: requests in progress have their places already,
+// and those that wait ask the holders, as they do while another instance stops.
 func (da *Daemon) shutDown() {
 	da.Log.Info().Msg("daemon: shutting down")
 	timeout := time.Duration(da.Settings.Limits.StopTimeout)
@@ -112,9 +117,11 @@
 	defer cancel()
 	now := da.Clock.Now()
 	da.shutdown.Start(shutdown.Period{Begin: now, Accepting: now, End: now.Add(timeout)})
-	da.control.Leave(ctx)
-	da.allocation.Leave(ctx)
+	var left sync.WaitGroup
+	left.Go(func() { da.control.Leave(ctx) })
+	left.Go(func() { da.allocation.Leave(ctx) })
 	handedOver, err := da.entry.Stop(ctx)
+	left.Wait()
 	if err != nil {
 		da.Log.Warn().Err(err).Msg("daemon: graceful shutdown incomplete")
 	}
