configuration: a shard is rewritten after a lost request

Cause: a publisher rewrites a shard that exists, so that its new version keeps a running garbage collection from deleting it. It sent the first update on version 0.

Change: the version is read first, one read more for each new shard. A read that fails no longer sets the version back to 0.

TestShardIsRewrittenAfterLostRequest, with and without a Guard, fails before (version 1 is not above 1) and passes now. Packages plan, control, daemon and command pass with the race detector.

--- a/internal/configuration/publish.go
+++ b/internal/configuration/publish.go
@@ -59,10 +59,15 @@
 }
 
 // publishShard writes a shard. It rewrites one that exists, because the new
-// object version keeps a running garbage collection from deleting it.
+// object version keeps a running garbage collection from deleting it. The old
+// version is read first: shards of one hash are equal, so that only a higher
+// version shows that a write with a lost response took effect.
 func publishShard(ctx context.Context, store platform.Store, hash string, data []byte) error {
-	var err error
-	var previous int64
+	ob, err := store.Get(ctx, ShardPrefix+hash)
+	if err != nil && !platform.IsKind(err, platform.NotFound) {
+		return err
+	}
+	previous := ob.Version
 	for range maxWriteAttempts {
 		_, err = store.Update(ctx, ShardPrefix+hash, previous, data)
 		if err == nil {
@@ -75,7 +80,9 @@
 		if readErr == nil && platform.IsKind(err, platform.Unknown) && ob.Version > previous {
 			return nil
 		}
-		previous = ob.Version
+		if readErr == nil || platform.IsKind(readErr, platform.NotFound) {
+			previous = ob.Version
+		}
 	}
 	return err
 }
