gateway: a restored entry replaces no newer one

Cause: after the store was restored from an older copy, readers write the entries that it lost again, for up to 6 s per entry and the other zone's 2 s later. The write created the entry or replaced it. An instance that had started again with another address and registered meanwhile got its old address back, and does not look at its entry again before its next start.

Change: Registry.Restore creates the entry, and an entry that is there stays.

TestRestoredEntryReplacesNoNewerOne fails before (the list has LinkMbps 10, too) and passes now; so do TestRegistration, TestStoreRestoredFromOlderCopy.

--- a/internal/gateway/registration.go
+++ b/internal/gateway/registration.go
@@ -22,6 +22,9 @@
 	// Register creates the entry of an instance or replaces the one of the same
 	// name.
 	Register(me loadshare.Member) error
+	// Restore creates the entry of an instance. It has no effect if there is one of
+	// that name.
+	Restore(me loadshare.Member) error
 	// Registered returns the registered instances as they were up to a few
 	// seconds ago. Such a call costs the store less than others.
 	Registered(ctx context.Context) ([]loadshare.Member, error)
@@ -257,10 +260,12 @@
 	}()
 }
 
+// registerOne writes the entry of an instance again. An entry that is there by then is
+// newer: the instance may have started again with another address meanwhile.
 func (gw *Gateway) registerOne(me loadshare.Member) {
 	var err error
 	for attempt := range maxRegisterAttempts {
-		if err = gw.Adapter.Registry.Register(me); err == nil {
+		if err = gw.Adapter.Registry.Restore(me); err == nil {
 			gw.Log.Info().Str("event", "registered_again").Str("member", me.Name).Msg("gateway: wrote the entry of an instance again that the restored store had lost")
 			return
 		}
--- a/internal/gateway/registration_test.go
+++ b/internal/gateway/registration_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -43,6 +44,16 @@
 	return nil
 }
 
+func (fr *fakeRegistry) Restore(me loadshare.Member) error {
+	fr.mu.Lock()
+	registered := slices.ContainsFunc(fr.current, func(it loadshare.Member) bool { return it.Name == me.Name })
+	fr.mu.Unlock()
+	if registered {
+		return nil
+	}
+	return fr.Register(me)
+}
+
 func (fr *fakeRegistry) List(context.Context) (list []feed.Object[loadshare.Member], at feed.Position, err error) {
 	fr.mu.Lock()
 	defer fr.mu.Unlock()
--- a/internal/gateway/restore_test.go
+++ b/internal/gateway/restore_test.go
@@ -90,6 +90,17 @@
 	g.Expect(fr.registered).To(Equal(2))
 }
 
+// Guards against a lost entry that another instance writes again after its own instance
+// did, with the address that it had before: nobody could reach that one any more.
+func TestRestoredEntryReplacesNoNewerOne(t *testing.T) {
+	g := NewWithT(t)
+	older, newer := loadshare.Member{Name: "i", LinkMbps: 10}, loadshare.Member{Name: "i", LinkMbps: 20}
+	fr := &fakeRegistry{current: []loadshare.Member{newer}}
+	gw := &Gateway{Adapter: Adapter{Registry: fr}, Clock: clockwork.NewFakeClock(), Log: zerolog.Nop()}
+	gw.registerOne(older)
+	g.Expect(fr.current).To(ConsistOf(newer))
+}
+
 // forgetfulRegistry loses the first entries that it acknowledges.
 type forgetfulRegistry struct {
 	fakeRegistry
