reservation: a late answer without a grant settles nothing

Cause: an answer that arrives after its caller left was settled whatever it said, as grant 0 if it had none. Load messages name 256 grants at most, so that such numbers displaced those of grants, which then counted twice until they expired.

TestLateAnswerWithoutGrantSettlesNothing fails before ("[0] to be empty") and passes now; the package passes with the race detector.

--- a/internal/reservation/client.go
+++ b/internal/reservation/client.go
@@ -182,7 +182,11 @@
 	}
 	as.allocator = *vi.Allocator
 	late := *as
-	an, answered := peer.Ask(as.ctx, late.call, func(an taken) { late.grant(an.reply).Settle() })
+	an, answered := peer.Ask(as.ctx, late.call, func(an taken) {
+		if an.err == nil && an.reply.Decision == Granted {
+			late.grant(an.reply).Settle()
+		}
+	})
 	if !answered {
 		return TakeReply{Decision: Waiting}, ""
 	}
--- a/internal/reservation/failure_test.go
+++ b/internal/reservation/failure_test.go
@@ -1,7 +1,9 @@
 package reservation
 
 import (
+	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	. "github.com/onsi/gomega"
@@ -99,6 +101,28 @@
 	}
 }
 
+// Guards against a late answer without a grant that is settled as grant 0: such numbers
+// displace those of grants from the load messages.
+func TestLateAnswerWithoutGrantSettlesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		fl := newFleet(18, 3, 9)
+		asker := fl.clients[(fl.allocator(0, "z0")+3)%18]
+		ctx, leave := context.WithCancel(t.Context())
+		proceed := make(chan struct{})
+		fl.fails = func(int, int) (bool, error) {
+			leave()
+			<-proceed
+			return false, errCut
+		}
+		_, err := asker.Reserve(ctx, request("r", 100, 10))
+		g.Expect(err).To(HaveField("Kind", Left))
+		close(proceed)
+		synctest.Wait()
+		g.Expect(asker.Settled()).To(BeEmpty())
+	})
+}
+
 func errIf(cut bool) error {
 	if cut {
 		return errCut
