ratelimit: no goroutine where nothing is awaited

Cause: Take asked through peer.Ask, which starts a goroutine for a caller that can leave, also where this instance is the allocator or none is asked.

Change: only a call to another instance goes through it.

--- a/internal/ratelimit/bench_test.go
+++ b/internal/ratelimit/bench_test.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"testing"
 
+	. "github.com/onsi/gomega"
+
 	"filbertstall.example/filbertstall/internal/backpressure"
 	"filbertstall.example/filbertstall/internal/roster"
 )
@@ -31,3 +33,21 @@
 		}
 	}
 }
+
+// Guards against a goroutine for each request of a caller that can leave, although this
+// instance is the allocator and nothing is awaited.
+func TestAllocatorAsksItselfWithoutGoroutine(t *testing.T) {
+	g := NewWithT(t)
+	si := newSimulation(1, 1)
+	for range int(silence/heartbeatPeriod) + 1 {
+		si.exchangeHeartbeats()
+		si.boot.Advance(heartbeatPeriod)
+	}
+	en, limit := roster.Endpoint{ID: "e", Zone: "z0"}, backpressure.Limit{Rate: simulatedRate, Named: true}
+	li := si.instances[0].limiter
+	g.Expect(li.Peers.View(en.ID, en.Zone).Allocator).To(HaveField("Name", li.Peers.Self.Name))
+	allocations := func(ctx context.Context) float64 {
+		return testing.AllocsPerRun(100, func() { _, _ = li.Take(ctx, en, limit, 0) })
+	}
+	g.Expect(allocations(t.Context())).To(Equal(allocations(context.Background())))
+}
--- a/internal/ratelimit/limiter.go
+++ b/internal/ratelimit/limiter.go
@@ -9,6 +9,7 @@
 
 	"filbertstall.example/filbertstall/internal/backpressure"
 	"filbertstall.example/filbertstall/internal/boottime"
+	"filbertstall.example/filbertstall/internal/loadshare"
 	"filbertstall.example/filbertstall/internal/metric"
 	"filbertstall.example/filbertstall/internal/peer"
 	"filbertstall.example/filbertstall/internal/roster"
@@ -58,7 +59,7 @@
 func (li *Limiter) Take(ctx context.Context, en roster.Endpoint, limit backpressure.Limit, maxWait time.Duration) (wait time.Duration, taken bool) {
 	ar := TakeArgs{Endpoint: en.ID, Started: en.Started, Zone: en.Zone, Rate: limit.Rate, Paced: limit.Paced, MaxWait: maxWait}
 	vi := li.Peers.View(en.ID, en.Zone)
-	re, answered := peer.Ask(ctx, func() TakeReply { return li.ask(ctx, vi, ar) }, func(TakeReply) {})
+	re, answered := li.ask(ctx, vi, ar)
 	switch {
 	case !answered:
 		return askPause, false
@@ -72,25 +73,27 @@
 	return re.Wait, false
 }
 
-// ask asks the allocator. The decision is NotAllocator if there is none that answers.
-func (li *Limiter) ask(ctx context.Context, vi View, ar TakeArgs) TakeReply {
-	none := TakeReply{Decision: NotAllocator}
-	if vi.Allocator == nil {
-		return none
-	}
-	if vi.Allocator.Name == li.Peers.Self.Name {
-		return li.Allocator.Take(ar)
-	}
-	name, now := vi.Allocator.Name, li.Boot.Now()
-	if li.skips.Has(name, now) {
-		return none
+// ask asks the allocator. The decision is NotAllocator if there is none that answers. The
+// result is false if ctx ends before the answer of another instance.
+func (li *Limiter) ask(ctx context.Context, vi View, ar TakeArgs) (re TakeReply, answered bool) {
+	switch {
+	case vi.Allocator == nil, li.skips.Has(vi.Allocator.Name, li.Boot.Now()):
+		return TakeReply{Decision: NotAllocator}, true
+	case vi.Allocator.Name == li.Peers.Self.Name:
+		return li.Allocator.Take(ar), true
 	}
+	return peer.Ask(ctx, func() TakeReply { return li.call(ctx, *vi.Allocator, ar) }, func(TakeReply) {})
+}
+
+// call asks an allocator that is another instance.
+func (li *Limiter) call(ctx context.Context, me loadshare.Member, ar TakeArgs) TakeReply {
+	now := li.Boot.Now()
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), askTimeout)
 	defer cancel()
 	var re TakeReply
-	if err := li.Caller.Call(ctx, vi.Allocator.Address.String(), methodTake, ar, &re); err != nil || re.Decision == NotAllocator {
-		li.skips.Add(name, now+askPause)
-		return none
+	if err := li.Caller.Call(ctx, me.Address.String(), methodTake, ar, &re); err != nil || re.Decision == NotAllocator {
+		li.skips.Add(me.Name, now+askPause)
+		return TakeReply{Decision: NotAllocator}
 	}
 	return re
 }
