--- a/internal/loadshare/blame_simulation_test.go
+++ b/internal/loadshare/blame_simulation_test.go
@@ -98,7 +98,7 @@
 	return ix == len(si.registries)-1 && si.now >= simBadFrom && si.now < simBadFrom+simPaused
 }
 
-// exchange sends what an instance has to tell to all others.
+// exchange sends what an instance has to send to all others.
 func (si *blameSimulation) exchange(ix int, due bool) {
 	if si.isPaused(ix) {
 		return
@@ -134,7 +134,7 @@
 	si.wake(to)
 }
 
-// wake lets an instance send what it has to tell.
+// wake lets an instance send what is due.
 func (si *blameSimulation) wake(ix int) {
 	select {
 	case <-si.wakes[ix]:
--- a/internal/loadshare/exchange.go
+++ b/internal/loadshare/exchange.go
@@ -48,8 +48,8 @@
 	// MoveOrder supplies the pending moves of this instance and receives those of
 	// the others. Its Instance must be set.
 	MoveOrder *MoveOrder
-	// Statements supplies what endpoints said to this instance, and receives what
-	// they said to others. Nil exchanges none.
+	// Statements supplies what endpoints stated to this instance, and receives what
+	// they stated to others. Nil exchanges none.
 	Statements Statements
 	// Suspects supplies the features of requests under which endpoints crashed, and
 	// receives those that others know. Nil exchanges none.
@@ -66,7 +66,7 @@
 	// Grants supplies the grants that the loads of this instance include, and receives
 	// those of others. Nil exchanges none.
 	Grants Grants
-	// Stopping tells whether this instance shuts down, and receives which others do. Nil
+	// Stopping states whether this instance shuts down, and receives which others do. Nil
 	// exchanges nothing.
 	Stopping *Stopping
 	// Heard is called with the name of the sender of each message. It may be nil.
@@ -80,7 +80,7 @@
 	reports reportState
 }
 
-// Statements are what endpoints say of the requests that they take.
+// Statements are what endpoints state about the requests that they take.
 // backpressure.Registry implements it.
 type Statements interface {
 	// Changed returns the statements that changed recently, and whether there are new
@@ -155,7 +155,7 @@
 	}
 }
 
-// sendStatements sends what endpoints said to all other instances, if there is
+// sendStatements sends what endpoints stated to all other instances, if there is
 // something new or if it is due to be repeated.
 func (ex *Exchange) sendStatements(due bool) {
 	if ex.Statements == nil {
--- a/internal/loadshare/outlier.go
+++ b/internal/loadshare/outlier.go
@@ -14,7 +14,7 @@
 // Outliers are the failures at endpoints by which they are judged. outlier.Detector
 // implements it.
 type Outliers interface {
-	// Changed returns what to tell all other instances now. due is set for a regular
+	// Changed returns what to send to all other instances now. due is set for a regular
 	// message.
 	Changed(due bool) []outlier.Report
 	// Merge records what another instance has seen.
@@ -79,7 +79,7 @@
 	return list
 }
 
-// sendOutliers tells all other instances the failures at endpoints, if there is something
+// sendOutliers sends all other instances the failures at endpoints, if there is something
 // new or if it is due to be repeated.
 func (ex *Exchange) sendOutliers(due bool) {
 	if ex.Outliers == nil {
--- a/internal/loadshare/reachability.go
+++ b/internal/loadshare/reachability.go
@@ -49,7 +49,7 @@
 	return instance, list, nil
 }
 
-// sendPaths tells all other instances the services whose links are lost, if that has
+// sendPaths sends all other instances the services whose links are lost, if that has
 // changed or if it is due to be repeated.
 func (ex *Exchange) sendPaths(due bool) {
 	if ex.Paths == nil {
--- a/internal/loadshare/rollout.go
+++ b/internal/loadshare/rollout.go
@@ -37,12 +37,12 @@
 	sentAt time.Time
 	// unsent is set if there is something new since then.
 	unsent bool
-	// stopped is the number of sent reports that say that a version is bad.
+	// stopped is the number of sent reports that a version is bad.
 	stopped int
 }
 
 // SendReports sends the reports of this instance, if there is something new or if they
-// are due to be repeated. Reports of an evaluator, and those that say that a version is
+// are due to be repeated. Reports of an evaluator, and those that report that a version is
 // bad, go to all instances; others go to the instances that evaluators returns, which
 // evaluate the service. One goroutine calls it several times a second.
 func (ex *Exchange) SendReports(evaluators func(service string) []Member) {
--- a/internal/loadshare/rollout_test.go
+++ b/internal/loadshare/rollout_test.go
@@ -57,7 +57,7 @@
 }
 
 // Reports go to the evaluators at a rate that falls with the number of instances; what
-// an evaluator says, and what was found bad, goes to all, the latter at once.
+// an evaluator reports, and what was found bad, goes to all, the latter at once.
 func TestRateOfReports(t *testing.T) {
 	const seconds = 10
 	for _, ca := range []struct{ instances, most int }{{6, 100}, {95, 40}, {340, 15}} {
--- a/internal/loadshare/statement.go
+++ b/internal/loadshare/statement.go
@@ -14,7 +14,7 @@
 const statementsVersion = 2
 
 // brittleStatementsVersion is the first number of a datagram in which each statement also
-// tells whether its endpoint is brittle. It is used only if one is.
+// states whether its endpoint is brittle. It is used only if one is.
 const brittleStatementsVersion = 5
 
 // encodeStatements returns the datagram of statements that endpoints made to an
--- a/internal/loadshare/stopping.go
+++ b/internal/loadshare/stopping.go
@@ -9,7 +9,7 @@
 )
 
 const (
-	// stoppingVersion is the first number of a datagram by which an instance says that it
+	// stoppingVersion is the first number of a datagram by which an instance announces that it
 	// shuts down. Instances that don't know it drop the datagram.
 	stoppingVersion = 8
 	// stoppingExpiry is the time after such a datagram for which its sender counts as
@@ -26,13 +26,13 @@
 	Changes chan<- struct{}
 
 	mu sync.Mutex
-	// begun is set once this instance shuts down, unsent until it has said so.
+	// begun is set once this instance shuts down, unsent until it has announced it.
 	begun, unsent bool
 	// others has the times until which other instances count as stopping.
 	others map[string]time.Duration
 }
 
-// Announce tells the other instances that this one shuts down.
+// Announce informs the other instances that this one shuts down.
 func (st *Stopping) Announce() {
 	st.mu.Lock()
 	st.begun, st.unsent = true, true
@@ -78,10 +78,10 @@
 	return appendString(binary.AppendUvarint(nil, stoppingVersion), instance)
 }
 
-// isStopping reports whether a datagram says that an instance shuts down.
+// isStopping reports whether a datagram announces that an instance shuts down.
 func isStopping(data []byte) bool { return len(data) > 0 && data[0] == stoppingVersion }
 
-// decodeStopping parses a datagram by which an instance says that it shuts down, or
+// decodeStopping parses a datagram by which an instance announces that it shuts down, or
 // returns ErrMalformed.
 func decodeStopping(data []byte) (instance string, err error) {
 	re := reader{data: data}
@@ -93,7 +93,7 @@
 	return instance, nil
 }
 
-// sendStopping tells all other instances that this one shuts down, if it is new or due to
+// sendStopping informs all other instances that this one shuts down, if it is new or due to
 // be repeated.
 func (ex *Exchange) sendStopping(due bool) {
 	if ex.Stopping == nil {
--- a/internal/loadshare/suspicion.go
+++ b/internal/loadshare/suspicion.go
@@ -14,10 +14,10 @@
 // Suspects are the features of requests under which endpoints crashed.
 // suspicion.Registry implements it.
 type Suspects interface {
-	// Changed returns the cases to tell all other instances now. due is set for a regular
+	// Changed returns the cases to send to all other instances now. due is set for a regular
 	// message.
 	Changed(due bool) []suspicion.Case
-	// Merge records cases that another instance learnt.
+	// Merge records cases that another instance found.
 	Merge(list []suspicion.Case)
 }
 
--- a/internal/relay/direct.go
+++ b/internal/relay/direct.go
@@ -107,7 +107,7 @@
 }
 
 // isUnable reports whether the store does not answer this instance. It has read
-// the store for the given time, and answered tells whether it got any answer.
+// the store for the given time, and answered reports whether it got any answer.
 func (sw *Switch) isUnable(answered bool, reading time.Duration) bool {
 	age, _ := sw.State.Age()
 	return storeFails(answered, reading, age, sw.Log.configurationCalls())
--- a/internal/relay/doc.go
+++ b/internal/relay/doc.go
@@ -9,7 +9,7 @@
 // the cost of some additional calls.
 //
 // A candidate that fails is passed over for some time, and the next one takes its
-// place: a reader that the store does not answer says so, and its followers and
+// place: a reader that the store does not answer reports it, and its followers and
 // the next candidate come to the same conclusion at the same time. One that does not
 // answer is noticed within 1.2 s; then all others are asked at once, so that any
 // number of lost instances costs the time of one. Only a candidate whose turn it is
@@ -17,7 +17,7 @@
 // instances. A reader is followed as long as it reads. It steps down when the first
 // candidate reads again.
 //
-// What others say never keeps a zone from the store for long. While the store is
+// What others report never keeps a zone from the store for long. While the store is
 // known not to answer, the first two candidates that can be reached try it each
 // 1.2 s, whoever they take for the reader; while it is not, an instance that got
 // nothing for 1.7 s reads the store itself. All this is decided by a state machine
--- a/internal/relay/election.go
+++ b/internal/relay/election.go
@@ -33,7 +33,7 @@
 	notReady
 	// unreachable: the source did not answer.
 	unreachable
-	// unable: the source said that the store does not answer it.
+	// unable: the source reported that the store does not answer it.
 	unable
 	// searched: a search is over.
 	searched
@@ -62,7 +62,7 @@
 	// answered is set for storeLost if the store had answered before.
 	answered bool
 	// able, silent and unable are the candidates of this zone that a search found to
-	// answer, not to answer, and to have said that the store does not answer them.
+	// answer, not to answer, and to have reported that the store does not answer them.
 	able, silent, unable []string
 	// trying is set if one of able reads the store, or attempts to.
 	trying bool
@@ -87,7 +87,7 @@
 	attemptGap      = 600 * time.Millisecond
 	triers          = 2
 	// maxUnserved is how long an instance waits for a candidate to take a lost
-	// reader's place before it reads the store itself, unless it has heard that the
+	// reader's place before it reads the store itself, unless it was informed that the
 	// store does not answer.
 	maxUnserved = 1700 * time.Millisecond
 	// maxOwnConfirmationAge is the age of the store's last confirmation beyond
@@ -102,7 +102,7 @@
 
 // election decides for one instance whether it reads the store or whom it
 // follows. It knows neither network nor clock: each event carries its time, and
-// phase says what to do until the next event. The promise: while an instance can
+// phase is what to do until the next event. The guarantee: while an instance can
 // reach the store or a reader, the age of what it has stays bounded.
 //
 //	undecided, resting --started--> reading, following or searching
@@ -230,7 +230,7 @@
 }
 
 // passOver passes a candidate over that does not read the store. The time is not
-// renewed before its end: the candidate may have said the same again without
+// renewed before its end: the candidate may have reported the same again without
 // another attempt.
 func (el *election) passOver(ev event, name string) {
 	el.awaited = ""
--- a/internal/relay/election_test.go
+++ b/internal/relay/election_test.go
@@ -25,7 +25,7 @@
 	storeFaults = []string{"refused", "busy", "silent", "slow"}
 )
 
-// broken plays a zone for the given time and returns what broke the promise: the
+// broken plays a zone for the given time and returns what broke the guarantee: the
 // state of an instance in touch is not older than changeBound. A reader notices
 // after maxSilence that its own path to the store is cut; if the zone loses anything
 // else meanwhile, the bound is the age up to which keys are accepted.
--- a/internal/relay/find.go
+++ b/internal/relay/find.go
@@ -32,7 +32,7 @@
 func (so source) isFresh() bool { return so.err == nil && so.status.check() == nil }
 
 // search asks the first candidates of this zone for their status, and the first one
-// of each other zone if the search is wide. It tells the election who answered, and
+// of each other zone if the search is wide. It passes to the election who answered, and
 // the one that is the closest to the store among those worth following. An instance
 // of this zone is preferred.
 func (sw *Switch) search(ctx context.Context) {
--- a/internal/relay/inquire.go
+++ b/internal/relay/inquire.go
@@ -16,7 +16,7 @@
 	}
 	switch {
 	case st.Version == 0 && st.ConfigurationAge < unknownAge:
-		// An instance of an earlier version does not tell its configuration's.
+		// An instance of an earlier version does not send its configuration's.
 		return true, sw.fetchOnce(ctx, me, unknownVersion)
 	case st.Version <= 1:
 		return st.Informed, nil
--- a/internal/relay/inquire_test.go
+++ b/internal/relay/inquire_test.go
@@ -12,7 +12,7 @@
 	"filbertstall.example/filbertstall/internal/routing"
 )
 
-// earlierBuild answers like an instance that does not tell its version.
+// earlierBuild answers like an instance that does not send its version.
 type earlierBuild struct{ peer.Caller }
 
 func (eb earlierBuild) Call(ctx context.Context, address, method string, args, reply any) error {
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -112,7 +112,7 @@
 	wake   chan struct{}
 	role   role
 	// silentSince is the boot time at which a call of this instance last failed, or
-	// the reader that it follows last said that the store does not answer; zero if
+	// the reader that it follows last reported that the store does not answer; zero if
 	// neither ever happened. Only a confirmation from later ends the silence: another
 	// candidate that has not asked the store knows nothing of it.
 	silentSince time.Duration
@@ -126,7 +126,7 @@
 	lastAnswer time.Duration
 }
 
-// role tells from where an instance gets its state.
+// role states from where an instance gets its state.
 type role struct {
 	// direct is set while the instance reads the store itself.
 	direct bool
--- a/internal/relay/orders.go
+++ b/internal/relay/orders.go
@@ -15,7 +15,7 @@
 )
 
 // Orders has the roll-outs that operators have ordered, as the store or the reader that
-// is followed has told them, and passes them to a rollout.Registry. A nil Orders stands
+// is followed has sent them, and passes them to a rollout.Registry. A nil Orders stands
 // for a deployment without roll-outs. Set the exported fields before use. It is safe
 // for concurrent use.
 type Orders struct {
@@ -166,7 +166,7 @@
 }
 
 // current returns the orders, the time since the store confirmed them, and whether
-// there is anything to tell.
+// there is anything to send.
 func (os *Orders) current() (list []rollout.Order, age time.Duration, known bool) {
 	if os == nil {
 		return nil, 0, false
--- a/internal/relay/orders_test.go
+++ b/internal/relay/orders_test.go
@@ -82,7 +82,7 @@
 	g.Expect(middle.log.Orders.Has("s")).To(BeFalse())
 }
 
-// An instance of an earlier version tells of no orders, which takes none back.
+// An instance of an earlier version sends no orders, which removes none.
 func TestOrdersBesideEarlierVersions(t *testing.T) {
 	g := NewWithT(t)
 	earlier, no := newNode(), newNode()
--- a/internal/relay/service.go
+++ b/internal/relay/service.go
@@ -46,7 +46,7 @@
 	return nil
 }
 
-// Status tells whether an instance can be followed.
+// Status states whether an instance can be followed.
 type Status struct {
 	// Direct reports that the sender reads the store itself.
 	Direct bool
--- a/internal/relay/switch.go
+++ b/internal/relay/switch.go
@@ -60,7 +60,7 @@
 	// is run again. It may be nil.
 	OnPanic func(name string, cause any)
 
-	// newestKnown is the newest version that Inquire was told of.
+	// newestKnown is the newest version that Inquire received.
 	newestKnown atomic.Int64
 	// fetching is held while Inquire fetches a configuration.
 	fetching sync.Mutex
--- a/internal/relay/zone_test.go
+++ b/internal/relay/zone_test.go
@@ -308,7 +308,7 @@
 	})
 }
 
-// The readers of all zones die, and come back later.
+// The readers of all zones end, and start again later.
 func TestReadersDie(t *testing.T) {
 	runFleet(t, 3, 19, func(g *WithT, fl *fleet) {
 		time.Sleep(4 * time.Second)
--- a/internal/relay/zonesim_test.go
+++ b/internal/relay/zonesim_test.go
@@ -29,9 +29,9 @@
 	knows, confirmed, disturbed time.Duration
 	up, frozen, cut             bool
 	store                       string
-	// seen is when it last heard of each other instance.
+	// seen is when it last received a message of each other instance.
 	seen []time.Duration
-	// role is what it tells others.
+	// role is what it sends to others.
 	role role
 	// phase and source are what it does since begun. sent is when the current call was
 	// sent; due is the time of the next step. following is set after a good update.
--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -37,7 +37,7 @@
 }
 
 // poolKey returns which idle connections the call may use. Those of calls without an ID
-// are kept apart: an endpoint may repeat their answers, and nothing tells them from the
+// are kept apart: an endpoint may repeat their answers, and nothing distinguishes them from the
 // answer to a later call.
 func (ca Call) poolKey() poolKey { return poolKey{address: ca.Address, hasID: ca.ID != ""} }
 
--- a/internal/upstream/doc.go
+++ b/internal/upstream/doc.go
@@ -1,8 +1,8 @@
-// Package upstream is an HTTP/1.1 client for endpoints. Its errors tell whether
+// Package upstream is an HTTP/1.1 client for endpoints. Its errors state whether
 // the endpoint can have received the request.
 //
 // It has its own connection pool, because the pool of the HTTP library does not
-// check that an answer belongs to the request, and cannot tell whether a request
+// check that an answer belongs to the request, and cannot determine whether a request
 // was written. Both are needed to decide whether a request may be retried.
 //
 // # Usage
--- a/internal/upstream/repeat_test.go
+++ b/internal/upstream/repeat_test.go
@@ -15,7 +15,7 @@
 const refusalTemplate = "HTTP/1.1 503 Busy\r\n%sNot-Executed: 1\r\nContent-Length: 2\r\n\r\nno"
 
 // A faulty endpoint writes an earlier refusal once more on a kept connection, where the
-// answer to the next request is due. A caller must never be told by it that a request that
+// answer to the next request is due. A caller must never conclude from it that a request that
 // runs has not run.
 func TestRepeatedRefusalIsNotTakenForAnother(t *testing.T) {
 	for _, ca := range []struct {
