record: the segment of a page that was refused is deleted

Cause: a page that is large is written after a new segment of it. If the store refused the page without effect (for example with 429), the segment stayed, was not counted, and each further attempt wrote another one. Only a conflict deleted it; a deletion that failed was not counted either.

Change: any failure but a lost response deletes the segment, and segments that stay are counted.

--- a/internal/record/recorder.go
+++ b/internal/record/recorder.go
@@ -68,7 +68,8 @@
 	// RefusedFull counts changes that were refused because their shard was full.
 	RefusedFull Reason = "full"
 	// SegmentLeft counts segments that may stay in the store without a page that
-	// refers to them, because the response to a write was lost.
+	// refers to them, because the response to a write was lost or they could not be
+	// deleted.
 	SegmentLeft Reason = "segment_left"
 )
 
--- a/internal/record/segment.go
+++ b/internal/record/segment.go
@@ -168,8 +168,7 @@
 	}
 }
 
-func (si *segmentIndex) discard(ctx context.Context, st platform.Store, ss *sealedSegment) {
-	if ss != nil {
-		_ = st.Delete(ctx, ss.ref.Key, ss.ref.Version)
-	}
+// discard deletes a segment to which no page refers.
+func (ss *sealedSegment) discard(ctx context.Context, st platform.Store) error {
+	return st.Delete(ctx, ss.ref.Key, ss.ref.Version)
 }
--- a/internal/record/shard.go
+++ b/internal/record/shard.go
@@ -200,11 +200,14 @@
 	switch {
 	case err == nil:
 		sh.index.addSealed(sealed)
-	case sealed != nil && platform.IsKind(err, platform.Unknown):
+	case sealed == nil:
+	case platform.IsKind(err, platform.Unknown):
 		sh.rc.events[SegmentLeft].Inc(1)
-	case platform.IsKind(err, platform.Conflict):
+	default:
 		// The page was not written, so nothing will ever refer to the new segment.
-		sh.index.discard(ctx, sh.rc.Store, sealed)
+		if sealed.discard(ctx, sh.rc.Store) != nil {
+			sh.rc.events[SegmentLeft].Inc(1)
+		}
 	}
 	return err
 }
