--- a/internal/allocation/run.go
+++ b/internal/allocation/run.go
@@ -87,7 +87,7 @@
 	for _, le := range leases {
 		eg.Go(func() error {
 			if err := le.Release(ctx); err != nil {
-				gt.Log.Warn().Err(err).Msg("allocation: releasing a lease failed; it stays taken until it expires")
+				gt.Log.Warn().Err(err).Msg("allocation: releasing a lease failed; it may stay taken until it expires")
 			}
 			return nil
 		})
@@ -149,7 +149,7 @@
 	defer gt.mu.Unlock()
 	le, found := gt.leases[gr]
 	if !found {
-		le = &lease.Lease{Store: gt.Store, Clock: gt.Clock, Key: gr.Key(), Holder: gt.Instance, Address: gt.Address}
+		le = &lease.Lease{Store: gt.Store, Clock: gt.Clock, Key: gr.Key(), Holder: gt.processName(), Address: gt.Address}
 		gt.leases[gr] = le
 	}
 	return le
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -56,10 +56,11 @@
 	holding bool
 	// released is set for good once Release was called.
 	released bool
-	// pending is a write, sent at pendingAt, that may or may not have taken
-	// effect.
-	pending   Record
-	pendingAt time.Time
+	// pending is the last of the writes that may or may not have taken effect,
+	// pendingAt when it was sent, and firstPendingAt when the first of them was.
+	pending        Record
+	pendingAt      time.Time
+	firstPendingAt time.Time
 	// writing is closed at the end of the write that is in progress, and nil if
 	// there is none.
 	writing chan struct{}
@@ -126,6 +127,8 @@
 	switch {
 	case version != 0 && re == le.pending:
 		le.heldAt, le.holding = le.pendingAt, !le.released
+	case version != 0 && le.isEarlierPending(re):
+		le.heldAt, le.holding = le.firstPendingAt, !le.released
 	case le.holding && re != le.stored:
 		le.holding = false
 	}
@@ -134,6 +137,13 @@
 	le.maxEpoch = max(le.maxEpoch, re.Epoch)
 }
 
+// isEarlierPending reports whether the record is one of the pending writes
+// before the last. The caller holds mu.
+func (le *Lease) isEarlierPending(re Record) bool {
+	return re.Holder == le.Holder && re.Epoch == le.pending.Epoch && re.Sequence < le.pending.Sequence &&
+		(re.Epoch != le.stored.Epoch || re.Sequence > le.stored.Sequence)
+}
+
 // TakeOrRenew takes or renews the lease if that is due. It does nothing before
 // the first Observe.
 func (le *Lease) TakeOrRenew(ctx context.Context) error {
@@ -157,15 +167,24 @@
 		if elapsed(le.heldAt, now) < RenewInterval {
 			return Record{}, ""
 		}
-		next = le.stored
-		next.Sequence++
-		return next, "renew"
+		return le.withNewSequence(le.stored), "renew"
 	}
 	le.holding = false
 	if !le.isFree() && now.Sub(le.seenAt) < Term+Margin {
 		return Record{}, ""
 	}
-	return Record{Holder: le.Holder, Address: le.Address, Epoch: le.maxEpoch + 1, Sequence: 1}, "take"
+	return le.withNewSequence(Record{Holder: le.Holder, Address: le.Address, Epoch: le.maxEpoch + 1}), "take"
+}
+
+// withNewSequence returns a copy with a sequence number that no pending write
+// has. If two of them were equal, it could not be known which one took effect,
+// and so when the term started. The caller holds mu.
+func (le *Lease) withNewSequence(re Record) Record {
+	if re.Epoch == le.pending.Epoch {
+		re.Sequence = max(re.Sequence, le.pending.Sequence)
+	}
+	re.Sequence++
+	return re
 }
 
 // isFree reports whether the lease may be taken without waiting for the end of a
@@ -192,13 +211,16 @@
 		return nil
 	}
 	previous, sentAt := le.version, le.Clock.Now()
+	if (le.pending == Record{}) {
+		le.firstPendingAt = sentAt
+	}
 	le.pending, le.pendingAt = next, sentAt
 	le.writing = make(chan struct{})
 	le.mu.Unlock()
 	defer le.endWrite()
 	version, err := le.Store.Update(ctx, le.Key, previous, data)
 	if platform.IsKind(err, platform.Unknown) {
-		version, err = le.readBack(ctx, next, err)
+		version, err = le.readBack(ctx, previous, next, err)
 	}
 	if err != nil {
 		return le.handleUpdateError(op, err)
@@ -219,10 +241,11 @@
 }
 
 // readBack reads the record to determine whether a write with a lost response
-// took effect, and returns its version if it did.
-func (le *Lease) readBack(ctx context.Context, next Record, lost error) (int64, error) {
+// took effect, and returns its version if it did. A record that is unchanged
+// shows nothing, because the write may arrive later.
+func (le *Lease) readBack(ctx context.Context, previous int64, next Record, lost error) (int64, error) {
 	ob, err := le.Store.Get(ctx, le.Key)
-	if err != nil {
+	if err != nil || ob.Version == previous {
 		return 0, lost
 	}
 	var re Record
@@ -278,13 +301,7 @@
 	if err := le.readPending(ctx); err != nil {
 		return false, err
 	}
-	le.mu.Lock()
-	next, version := le.stored.WithRelease(), le.version
-	mine := le.stored.Holder == le.Holder
-	if mine {
-		le.pending = next
-	}
-	le.mu.Unlock()
+	next, version, mine := le.nextRelease()
 	if !mine {
 		return true, nil
 	}
@@ -298,6 +315,22 @@
 	return true, nil
 }
 
+// nextRelease returns the release to write and the version that it replaces.
+// mine is false if the lease is not this instance's. A write that is still
+// pending after a read may arrive later, unless the release precedes it.
+func (le *Lease) nextRelease() (next Record, version int64, mine bool) {
+	le.mu.Lock()
+	defer le.mu.Unlock()
+	base := le.stored
+	if (le.pending != Record{}) {
+		base = le.pending
+	} else if base.Holder != le.Holder {
+		return Record{}, 0, false
+	}
+	le.pending = base.WithRelease()
+	return le.pending, le.version, true
+}
+
 // readPending reads the record if the outcome of the last write is not known.
 func (le *Lease) readPending(ctx context.Context) error {
 	le.mu.Lock()
