dispatch: an answer without an event proves no end

An unframed stream ended as complete with 10 of 60 events: the engine where its run went on closed the connection behind the head of its answer, without an event, and went on with the run.

Cause: the end of the connection counts as the end of the stream behind a whole event. That event was one of the answer before.

Change: for runs, an answer must have brought an event itself. An unframed answer of a service without moves may be empty, unless its run was taken over.

--- a/internal/dispatch/resume.go
+++ b/internal/dispatch/resume.go
@@ -119,6 +119,7 @@
 		Str("target", mv.Target.ID).Str("last_event", se.lastEvent).Msg("dispatch: stream resumed")
 	di.Meter.countAttempt("resumed")
 	se.endpoint, se.answer, se.ticket = mv.Target, an, mv.Ticket
+	se.answerFrom = se.events
 	se.ticket.Answered()
 	se.startStallWatch()
 	if now, known := di.Roster.View().Get(mv.Target.ID); !known || now.Leaving {
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -96,7 +96,9 @@
 	// lastEvent is the ID of the last complete event that has one.
 	lastEvent string
 	events    int
-	endErr    error
+	// answerFrom is the number of events before the current answer.
+	answerFrom int
+	endErr     error
 	// lastEventAt is when the last complete event was received.
 	lastEventAt time.Time
 	// sentAt is when the request was sent, beganAt when the head of the answer arrived.
@@ -195,13 +197,20 @@
 
 // endsComplete reports whether io.EOF of the answer is the end of the stream.
 // If the end of the answer is not marked by its framing, but only by the end of
-// the connection, the stream counts as complete only if it ends after a
-// complete event and the engine cannot have closed it because it stopped the run.
+// the connection, the stream counts as complete only if it ends after a complete event and
+// the engine cannot have closed it because it stopped the run. An answer without an event
+// proves nothing of a run.
 func (se *session) endsComplete() bool {
 	if se.answer.Framed {
 		return true
 	}
-	return len(se.pending) == se.completeBytes && (se.run == nil || se.run.Known().ProvesEnd())
+	if len(se.pending) != se.completeBytes {
+		return false
+	}
+	if se.run == nil {
+		return se.moves == 0 || se.events > se.answerFrom
+	}
+	return se.events > se.answerFrom && se.run.Known().ProvesEnd()
 }
 
 // maxEventBytes limits one event. An endpoint that sends more without ending it sends no
