dispatch, migration: a run goes on after a call at a copy without an answer

A move has two steps: the order to stop the run at its engine, and the call that lets it go on from a copy. A call that brought nothing held the stream until its deadline.

Cause: what the call proves was no state. The run counted as running from the moment in which the move was taken up, before the call was sent, and any failure of the call was taken for the loss of the run.

Change: migration.Knowledge has the states absent, called and ordered in doubt, and one table of transitions for the events of both steps; the session and the mover use no other rule. No order is sent while a call is under way, no call while an engine may work on the run or an order is under way. A call without an answer leaves doubt: its engine is asked as that of a broken stream is (Mover.Settle). It stops the run, or has none and is called once more. A call that did not begin the run is followed by the standby copy kept so far. The stall watch gives up a call while the engine reports events of the run. Streams of engines without moves end as before.

An order that ended late could concern the engine of a run that had been taken over meanwhile (found by reading, not shown by a run); RecordAbsence does not allow it.

TestKnowledgeIsNeverWrong now sends the order before its result, which the table wants; what it checks is the same.

--- a/internal/dispatch/stall.go
+++ b/internal/dispatch/stall.go
@@ -10,7 +10,6 @@
 	"filbertstall.example/filbertstall/internal/migration"
 	"filbertstall.example/filbertstall/internal/pause"
 	"filbertstall.example/filbertstall/internal/roster"
-	"filbertstall.example/filbertstall/internal/upstream"
 )
 
 const (
@@ -40,7 +39,7 @@
 type stallWatch struct {
 	di       *Dispatcher
 	ctx      context.Context
-	answer   *upstream.Answer
+	abort    func()
 	endpoint roster.Endpoint
 	// run is nil if the run cannot be moved.
 	run *migration.Run
@@ -67,14 +66,14 @@
 // noReport stands for an engine that has not reported on the run yet.
 const noReport = -1
 
-// startStallWatch watches the current answer. Streams that can neither be moved
-// nor continue from a standby copy are not watched, since they can only wait.
-func (se *session) startStallWatch() {
+// startStallWatch watches an answer of an endpoint, which abort ends. Streams that can
+// neither be moved nor continue from a standby copy are not watched, since they can only wait.
+func (se *session) startStallWatch(en roster.Endpoint, abort func()) {
 	if se.di.Reachable == nil || se.standby == nil && se.run == nil {
 		return
 	}
 	sw := &stallWatch{
-		di: se.di, ctx: se.ctx, answer: se.answer, endpoint: se.endpoint, run: se.run, hasStandby: se.standby != nil, made: noReport,
+		di: se.di, ctx: se.ctx, abort: abort, endpoint: en, run: se.run, hasStandby: se.standby != nil, made: noReport,
 	}
 	sw.mu.Lock()
 	defer sw.mu.Unlock()
@@ -135,7 +134,7 @@
 // silent in the middle of a pause, too.
 func (sw *stallWatch) examine() {
 	if waiting, _ := sw.state(); waiting && sw.isStalled() {
-		sw.answer.Abort()
+		sw.abort()
 		return
 	}
 	sw.mu.Lock()
@@ -230,8 +229,12 @@
 	return before != noReport && made > before
 }
 
-// moveRun moves the run off its engine and reports whether that stopped it there.
+// moveRun moves the run off its engine and reports whether that stopped it there, or
+// whether to abort a call at a copy, after which the run is stopped as well.
 func (sw *stallWatch) moveRun() bool {
+	if sw.run.Known() == migration.Called {
+		return true
+	}
 	sw.mu.Lock()
 	sw.forcedMoves++
 	allowed := sw.forcedMoves <= maxForcedMoves
--- a/internal/dispatch/standby.go
+++ b/internal/dispatch/standby.go
@@ -69,6 +69,8 @@
 func (se *session) settle() migration.Fate {
 	di := se.di
 	switch {
+	case se.run != nil && se.run.Known() == migration.Stopped:
+		return migration.Gone
 	case se.run != nil:
 		fate := di.Runs.Settle(se.ctx, se.run, se.standby.id())
 		if fate == migration.Unknown && di.Reachable != nil && !se.reachesEngine() {
@@ -93,6 +95,13 @@
 	return se.di.Reachable(ctx, se.endpoint.Address)
 }
 
+// usableCopy returns the present entry of an engine that was given a copy, if the run may go
+// on there and the engine has not restarted since.
+func (se *session) usableCopy(at roster.Endpoint) (roster.Endpoint, bool) {
+	en, usable := se.di.Roster.View().Usable(at.ID)
+	return en, usable && en.Started == at.Started && len(se.di.allows([]roster.Endpoint{en})) > 0
+}
+
 // takeOver lets an interrupted run continue on the engine of its standby copy.
 // It returns false if there is no copy, or if the engine of the copy has
 // restarted, has been removed, is leaving, is in a zone that operators have
@@ -104,8 +113,8 @@
 		return migration.Moved{}, false
 	}
 	sb.release()
-	en, usable := se.di.Roster.View().Usable(sb.endpoint.ID)
-	if !usable || en.Started != sb.endpoint.Started || len(se.di.allows([]roster.Endpoint{en})) == 0 {
+	en, usable := se.usableCopy(sb.endpoint)
+	if !usable {
 		return migration.Moved{}, false
 	}
 	ti := se.di.Tracker.Begin(en, se.demand)
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -108,6 +108,8 @@
 	proven bool
 	// moves is the number of attempts to resume the stream.
 	moves int
+	// unanswered is the move of the last call at a copy, if the call has no usable answer.
+	unanswered *migration.Moved
 	// stall is nil if the stream is not watched for stalls.
 	stall *stallWatch
 }
@@ -131,7 +133,7 @@
 			se.di.requestMoves(en)
 		}
 	}
-	se.startStallWatch()
+	se.startStallWatch(en, se.answer.Abort)
 	return se
 }
 
--- a/internal/migration/knowledge.go
+++ b/internal/migration/knowledge.go
@@ -1,50 +1,84 @@
 package migration
 
-// Knowledge is what is known of a run at its engine: whether it still works on the run,
-// or was told to stop it. The table in docs/design/streams.md shows what follows from it
-// when the stream of the run ends.
+// Knowledge is what is known of a run: whether an engine works on it, or may. transitions
+// has what each event makes of it. The tables in docs/design/streams.md show what follows
+// for the stream of the run.
 type Knowledge int
 
 const (
-	// Running means that the engine was not told to stop the run, or has refused to.
+	// Running means that the run's engine was not told to stop it, or has refused to.
 	Running Knowledge = iota
 	// Ordered means that an order to stop the run is under way.
 	Ordered
-	// Stopped means that the engine has stopped the run and kept its memory.
+	// Stopped means that no engine works on the run, and that it may go on from a copy.
 	Stopped
-	// Doubtful means that an order to stop the run was sent, and that no answer tells
-	// whether it was carried out.
+	// Doubtful means that the engine may work on the run or not: an order to stop it, or a
+	// call to let it go on, was sent, and no answer tells what became of that.
 	Doubtful
+	// OrderedInDoubt means that an order to stop a doubtful run is under way.
+	OrderedInDoubt
+	// Absent means that the stream of the run broke off, and that its engine has no such run
+	// or cannot be reached.
+	Absent
+	// Called means that the engine of a copy was called to let the run go on, and has not
+	// answered yet.
+	Called
 )
 
-// OrderResult is what the answer to an order to stop a run proves.
-type OrderResult int
+// Event is what changes the knowledge of a run.
+type Event int
 
 const (
-	// CarriedOut means that the run was stopped and that its memory is kept.
-	CarriedOut OrderResult = iota
-	// NotCarriedOut means that this order has not stopped the run.
+	// OrderSent is an order to the engine to stop the run.
+	OrderSent Event = iota
+	// CarriedOut is an answer by which the run was stopped and its memory is kept.
+	CarriedOut
+	// NotCarriedOut is an answer by which this order has not stopped the run.
 	NotCarriedOut
-	// Unanswered means that the order may have been carried out.
+	// FoundAbsent means that the engine of a broken stream has no such run, or cannot be
+	// reached.
+	FoundAbsent
+	// CallSent is a call to the engine of a copy to let the run go on.
+	CallSent
+	// Begun is an answer with the stream of the run.
+	Begun
+	// NotBegun means that the engine does not work on the run: it says so, or the call was
+	// not sent.
+	NotBegun
+	// Unanswered means that what was sent has no answer that proves anything, and may have
+	// been carried out.
 	Unanswered
 )
 
-// mayOrder reports whether the engine may be told to stop the run.
-func (kn Knowledge) mayOrder() bool { return kn == Running || kn == Doubtful }
-
-// after returns what is known after an order. An order that was not carried out leaves
-// what was known before it: an earlier one may have been.
-func (kn Knowledge) after(or OrderResult) Knowledge {
-	switch or {
-	case CarriedOut:
-		return Stopped
-	case NotCarriedOut:
-		return kn
-	default:
-		return Doubtful
+// transitions has the next state for each event that is possible in a state. An order
+// that was not carried out leaves what was known before it: an earlier one may have been.
+var transitions = map[Knowledge]map[Event]Knowledge{
+	Running:        {OrderSent: Ordered, FoundAbsent: Absent},
+	Ordered:        {CarriedOut: Stopped, NotCarriedOut: Running, Unanswered: Doubtful},
+	Stopped:        {CallSent: Called},
+	Doubtful:       {OrderSent: OrderedInDoubt, FoundAbsent: Absent},
+	OrderedInDoubt: {CarriedOut: Stopped, NotCarriedOut: Doubtful, Unanswered: Doubtful},
+	Absent:         {CallSent: Called},
+	Called:         {Begun: Running, NotBegun: Stopped, Unanswered: Doubtful},
+}
+
+// may reports whether an event is possible.
+func (kn Knowledge) may(ev Event) bool {
+	_, possible := transitions[kn][ev]
+	return possible
+}
+
+// after returns what is known after an event. An event that is not possible changes nothing.
+func (kn Knowledge) after(ev Event) Knowledge {
+	if next, possible := transitions[kn][ev]; possible {
+		return next
 	}
+	return kn
 }
 
+// mayOrder reports whether the engine may be told to stop the run.
+func (kn Knowledge) mayOrder() bool { return kn.may(OrderSent) }
+
 // ProvesEnd reports whether a stream that ends with its connection, after a whole event,
 // is complete. Otherwise the engine may have closed it because it stopped the run.
 func (kn Knowledge) ProvesEnd() bool { return kn == Running }
--- a/internal/migration/move.go
+++ b/internal/migration/move.go
@@ -155,9 +155,9 @@
 // resumeAtSource keeps a run at its own engine after a final copy failed. If
 // the run was stopped, kept is the handle of its memory, which the engine still
 // holds. If kept is empty, only the copy at the target is freed.
-func (mo *Mover) resumeAtSource(en roster.Endpoint, mv *move, kept string, or OrderResult) {
+func (mo *Mover) resumeAtSource(en roster.Endpoint, mv *move, kept string, ev Event) {
 	if kept == "" {
-		mv.run.finishFinalCopy(or, nil)
+		mv.run.finishFinalCopy(ev, nil)
 		mo.abandon(en, mv)
 		return
 	}
--- a/internal/migration/run.go
+++ b/internal/migration/run.go
@@ -42,9 +42,7 @@
 	// standby is the ID of the engine that keeps a standby copy of the run. It
 	// is empty if there is none.
 	standby string
-	// known is what is known of the run at its engine, and before what was known before
-	// the order that is under way.
-	known, before Knowledge
+	known   Knowledge
 	// answered is closed when the order that is under way has ended. It is nil before
 	// the first order.
 	answered chan struct{}
@@ -52,15 +50,11 @@
 }
 
 // SetEndpoint sets the engine on which the run is. It must be called before
-// Mover.Add and after each takeover from a standby copy, and Run knows nothing of the run
-// there yet.
+// Mover.Add, and if the run goes on at another engine than Await returned.
 func (ru *Run) SetEndpoint(en roster.Endpoint) {
 	ru.mu.Lock()
 	defer ru.mu.Unlock()
 	ru.endpoint = en
-	if ru.known.mayOrder() {
-		ru.known = Running
-	}
 }
 
 // Endpoint returns the engine on which the run is.
@@ -85,15 +79,44 @@
 	ru.events = events
 }
 
-// Known returns what is known of the run at its engine.
+// Known returns what is known of the run.
 func (ru *Run) Known() Knowledge {
 	ru.mu.Lock()
 	defer ru.mu.Unlock()
 	return ru.known
 }
 
+// RecordAbsence records that the engine of a run whose stream broke off has no such run or
+// cannot be reached. It reports whether the run may go on from another copy than Await
+// returns, which it may not while an order to stop it is under way or was carried out.
+func (ru *Run) RecordAbsence() bool {
+	ru.mu.Lock()
+	defer ru.mu.Unlock()
+	if ru.moved != nil {
+		return false
+	}
+	ru.known = ru.known.after(FoundAbsent)
+	return ru.known.may(CallSent)
+}
+
+// TakeOver records that the engine of a copy is about to be called to let the run go on.
+// RecordAbsence must have returned true before.
+func (ru *Run) TakeOver(en roster.Endpoint) {
+	ru.mu.Lock()
+	defer ru.mu.Unlock()
+	ru.endpoint, ru.known = en, ru.known.after(CallSent)
+}
+
+// RecordCall records what became of the call after TakeOver or Await.
+func (ru *Run) RecordCall(ev Event) {
+	ru.mu.Lock()
+	defer ru.mu.Unlock()
+	ru.known = ru.known.after(ev)
+}
+
 // Await waits for the end of a final copy in progress and returns where the run
-// continues, which is its own engine if the copy failed after stopping the run.
+// continues, which is its own engine if the copy failed after stopping the run. That engine
+// is then to be called; RecordCall records what became of it.
 // It returns false if no final copy was started, if the run was not stopped as far as is
 // known, or if ctx or the run has ended.
 func (ru *Run) Await(ctx context.Context) (Moved, bool) {
@@ -114,7 +137,7 @@
 		return Moved{}, false
 	}
 	mv := *ru.moved
-	ru.moved, ru.known = nil, Running
+	ru.moved, ru.known = nil, ru.known.after(CallSent)
 	return mv, true
 }
 
@@ -146,7 +169,7 @@
 	if ru.ended || !ru.known.mayOrder() {
 		return false
 	}
-	ru.before, ru.known = ru.known, Ordered
+	ru.known = ru.known.after(OrderSent)
 	ru.answered = make(chan struct{})
 	return true
 }
@@ -154,10 +177,10 @@
 // finishFinalCopy marks the end of a final copy. mv is where the run goes on if the order
 // was carried out, and nil otherwise. It returns whether the copy is still needed, which
 // it is not if the run has ended.
-func (ru *Run) finishFinalCopy(or OrderResult, mv *Moved) bool {
+func (ru *Run) finishFinalCopy(ev Event, mv *Moved) bool {
 	ru.mu.Lock()
 	defer ru.mu.Unlock()
-	ru.known, ru.moved = ru.before.after(or), mv
+	ru.known, ru.moved = ru.known.after(ev), mv
 	if mv != nil {
 		ru.endpoint = mv.Target
 	}
--- a/internal/migration/settle.go
+++ b/internal/migration/settle.go
@@ -22,7 +22,7 @@
 )
 
 // resultOf returns what an error of Engines.Copy proves of a final copy.
-func resultOf(err error) OrderResult {
+func resultOf(err error) Event {
 	for _, proof := range []error{ErrNoRun, ErrBusy, ErrNotSent, ErrRefused} {
 		if errors.Is(err, proof) {
 			return NotCarriedOut
--- a/internal/migration/settle_test.go
+++ b/internal/migration/settle_test.go
@@ -88,6 +88,7 @@
 			if !kn.mayOrder() {
 				break
 			}
+			kn = kn.after(OrderSent)
 			arrives := rapid.Bool().Draw(rt, "order arrives")
 			refused := rapid.Bool().Draw(rt, "refused")
 			answered := arrives && rapid.Bool().Draw(rt, "answer arrives")
