platform: an order that was not sent after a pause tells nothing of the engine

An order to stop a run whose permit expired (the process was paused for more than 500 ms between taking the permit and sending) counted as an engine that cannot be reached, after which the run goes on from its standby copy, while its engine may work on it.

Cause: a refused permit and a failed connection were the same error, ErrNotSent.

--- a/internal/migration/mover.go
+++ b/internal/migration/mover.go
@@ -28,8 +28,8 @@
 	// that the run was stopped and that its engine still holds the memory. The
 	// error is ErrNoRoom if the target cannot take the copy, ErrNoRun if
 	// the run has ended or has not started, ErrBusy if it is being copied, ErrNotSent
-	// if the engine cannot be reached, and ErrRefused if the engine did not carry out
-	// the command for another reason. After any other error it may have.
+	// if the engine cannot be reached, and ErrRefused if the command was not carried out
+	// for another reason. After any other error it may have been.
 	Copy(ctx context.Context, source roster.Endpoint, run, target string, final bool) (Copied, error)
 	// Free asks source, the engine that made the copy, to drop a copy that will
 	// not be used.
@@ -54,7 +54,7 @@
 	// ErrBusy means that another copy of the run is being made.
 	ErrBusy    = errors.New("migration: the run is being copied")
 	ErrNotSent = errors.New("migration: the engine cannot be reached")
-	ErrRefused = errors.New("migration: the engine did not carry out the command")
+	ErrRefused = errors.New("migration: the command was not carried out")
 )
 
 const (
