--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -40,6 +40,9 @@
 // errRunSuspect means that engines crash under runs like the one that was to go on.
 var errRunSuspect = errors.New("dispatch: engines crash under the run or a part of its prompt")
 
+// errNotResumed means that an engine answered that a run does not go on there.
+var errNotResumed = errors.New("dispatch: the engine did not resume the run")
+
 // errStreamBroken is the read error of an incomplete stream.
 var errStreamBroken = errors.New("dispatch: stream interrupted and cannot be resumed")
 
@@ -103,7 +106,9 @@
 	// lastEvent is the ID of the last complete event that has one.
 	lastEvent string
 	events    int
-	endErr    error
+	// answerFrom is the number of events before the current answer.
+	answerFrom int
+	endErr     error
 	// lastEventAt is when the last complete event was received.
 	lastEventAt time.Time
 	// sentAt is when the request was sent, beganAt when the head of the answer arrived.
@@ -116,6 +121,8 @@
 	blamed []suspicion.Feature
 	// moves is the number of attempts to resume the stream.
 	moves int
+	// unanswered is the move of the last call at a copy, if the call has no usable answer.
+	unanswered *migration.Moved
 	// stall is nil if the stream is not watched for stalls.
 	stall *stallWatch
 }
@@ -139,7 +146,7 @@
 			se.di.requestMoves(en)
 		}
 	}
-	se.startStallWatch()
+	se.startStallWatch(en, se.answer.Abort)
 	return se
 }
 
@@ -205,13 +212,20 @@
 
 // endsComplete reports whether io.EOF of the answer is the end of the stream.
 // If the end of the answer is not marked by its framing, but only by the end of
-// the connection, the stream counts as complete only if it ends after a
-// complete event and the engine cannot have closed it because it stopped the run.
+// the connection, the stream counts as complete only if it ends after a complete event and
+// the engine cannot have closed it because it stopped the run. An answer without an event
+// proves nothing of a run.
 func (se *session) endsComplete() bool {
 	if se.answer.Framed {
 		return true
 	}
-	return len(se.pending) == se.completeBytes && (se.run == nil || se.run.Known().ProvesEnd())
+	if len(se.pending) != se.completeBytes {
+		return false
+	}
+	if se.run == nil {
+		return se.moves == 0 || se.events > se.answerFrom
+	}
+	return se.events > se.answerFrom && se.run.Known().ProvesEnd()
 }
 
 // maxEventBytes limits one event. An endpoint that sends more without ending it sends no
