concurrency: learn of an allocator's restart without new requests

An instance whose requests in progress all had slots of the allocator's account reported a count of zero once and no more, so that it never learnt that another process had taken the allocator's place within three seconds. That process gave out the slots again that were in use. The count of zero is now repeated each second while there are such requests; the answer has the epoch of the process.

TestRestartedAllocatorLearnsWhatIsInProgress before: the restarted allocator gave out 6 slots of 6 while 5 were in use. Now it gives out 1. go test -race ./internal/concurrency: ok.

--- a/internal/concurrency/report.go
+++ b/internal/concurrency/report.go
@@ -195,7 +195,9 @@
 		to := grantor{instance: vi.Allocator.Name, epoch: li.epochs[vi.Allocator.Name]}
 		next := report{to: to, count: pr.without(to), at: now}
 		repeats := next.to == pr.reported.to && next.count == pr.reported.count && !pr.turnedAway
-		if repeats && (next.count == 0 || now-pr.reported.at < reportInterval) {
+		// Requests that have a slot of the allocator are repeated as a count of zero: its
+		// answer tells whether another process has taken its place.
+		if repeats && (len(pr.counts) == 0 || now-pr.reported.at < reportInterval) {
 			continue
 		}
 		if due == nil {
