concurrency: begin the numbers of slots at random

Each process of an allocator numbered its slots from 1. A slot that was given back to a restarted allocator, but came from the process before, freed the slot of the same number of another request, so that it was given out twice. The first number of a process is now random below 2^62; messages are as before.

TestRestartedAllocatorKeepsSlotsApart before: the account had 2 requests in progress of 4. Now it has 4. go test -race ./internal/concurrency: ok.

--- a/internal/concurrency/allocator.go
+++ b/internal/concurrency/allocator.go
@@ -29,6 +29,9 @@
 	// roomStep is the time after which an endpoint that turned a request away may get one
 	// more than it had at that moment.
 	roomStep = 1500 * time.Millisecond
+	// maxFirstSlot limits the number of the first slot of a process. The number is chosen at
+	// random, so that a slot of the process before is not taken for one of this one.
+	maxFirstSlot = 1 << 62
 	// retryAfter is the time after which a request that got no slot may ask again.
 	retryAfter = 50 * time.Millisecond
 )
@@ -219,6 +222,9 @@
 
 // grant gives out a slot. The caller must hold mu.
 func (al *Allocator) grant(en *endpoint, lease time.Duration) uint64 {
+	if al.lastSlot == 0 {
+		al.lastSlot = rand.Uint64N(maxFirstSlot)
+	}
 	al.lastSlot++
 	en.taken[al.lastSlot] = al.Boot.Now() + lease + leaseMargin
 	return al.lastSlot
--- a/internal/concurrency/restart_test.go
+++ b/internal/concurrency/restart_test.go
@@ -71,3 +71,27 @@
 		g.Expect(again).To(HaveLen(its), "only its own requests have ended")
 	})
 }
+
+// Guards against a slot of the process before that frees one of the present process: both
+// had the same number.
+func TestRestartedAllocatorKeepsSlotsApart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		fl := newBrittleFleet(6)
+		before := fl.takeAll(t, endpoint1)
+		li := fl.restart(fl.allocatorOf(endpoint1))
+		fl.serve(settleTime)
+		inProgress := known(li.Allocator, endpoint1)
+		for _, us := range before[endpoint1.Slots/2:] {
+			us.End(false)
+		}
+		fl.serve(reportInterval)
+		after := fl.takeAll(t, endpoint1)
+		g.Expect(len(after)).To(BeNumerically(">=", endpoint1.Slots/2))
+		for _, us := range before[:endpoint1.Slots/2] {
+			us.End(false)
+		}
+		fl.serve(reportInterval)
+		g.Expect(inProgress()).To(Equal(len(after)))
+	})
+}
