concurrency: give out slots one at a time after a start

An allocator that had just started said for three seconds that it was not the allocator. Each other instance then sent the brittle endpoint a request in its turn, so that it had to turn several away at once.

--- a/internal/concurrency/allocator.go
+++ b/internal/concurrency/allocator.go
@@ -63,6 +63,8 @@
 	since, usedAt time.Duration
 	// slots is how many requests this part of the fleet may have in progress.
 	slots int
+	// settled is ratelimit.View.Settled of this instance.
+	settled bool
 	// taken maps the slots that are given out, by number, to the end of their leases.
 	taken map[uint64]time.Duration
 	// holds has the requests in progress that have no slot of this account, by instance.
@@ -134,7 +136,7 @@
 // Take gives out a slot, if this instance is the allocator and there is one in time.
 func (al *Allocator) Take(ar TakeArgs) TakeReply {
 	vi := al.Peers.View(ar.Endpoint, ar.Zone)
-	if !vi.Settled || vi.Allocator == nil || vi.Allocator.Name != al.Peers.Self.Name {
+	if vi.Allocator == nil || vi.Allocator.Name != al.Peers.Self.Name {
 		return TakeReply{}
 	}
 	slots := ar.Slots * vi.Alive / max(vi.Total, 1)
@@ -161,7 +163,7 @@
 	al.mu.Lock()
 	defer al.mu.Unlock()
 	en := al.endpoint(ar.key())
-	en.slots = slots
+	en.slots, en.settled = slots, al.Peers.Settled()
 	al.grantWaiting(en)
 	if len(en.waiting) == 0 && en.hasRoom(al.Boot.Now()) {
 		return al.grant(en, ar.Lease), nil
@@ -208,12 +210,17 @@
 	return count
 }
 
-// hasRoom reports whether a slot may be given out.
+// hasRoom reports whether a slot may be given out. An instance that has just started gives
+// out one at a time, after all others have reported: without it, each of them would send
+// a request to find out whether there is room.
 func (en *endpoint) hasRoom(now time.Duration) bool {
 	bound := en.slots
 	if en.room >= 0 {
 		bound = min(bound, en.room+int((now-en.roomAt)/roomStep))
 	}
+	if !en.settled && (now-en.since < reportInterval+collectTime || len(en.taken) > 0) {
+		return false
+	}
 	return now-en.since >= collectTime && en.inProgress() < bound
 }
 
@@ -284,9 +291,11 @@
 // Check gives out slots that have become free by the passing of time. It must be called
 // several times a second.
 func (al *Allocator) Check() {
+	settled := al.Peers.Settled()
 	al.mu.Lock()
 	defer al.mu.Unlock()
 	for _, en := range al.endpoints {
+		en.settled = settled
 		al.grantWaiting(en)
 	}
 }
--- a/internal/concurrency/restart_test.go
+++ b/internal/concurrency/restart_test.go
@@ -27,17 +27,23 @@
 	const interval = 200 * time.Millisecond
 	for passed := interval; passed <= span; passed += interval {
 		fl.boot.Advance(interval)
-		for _, li := range fl.limiters {
-			li.Allocator.Check()
-			li.Report()
-		}
-		synctest.Wait()
+		fl.tick()
 		if passed%(5*interval) == 0 {
 			fl.exchange(func(int, int) bool { return true })
 		}
 	}
 }
 
+// tick does what the janitors of all instances do at one time.
+func (fl *fleet) tick() {
+	for _, li := range fl.limiters {
+		li.Peers.Check()
+		li.Allocator.Check()
+		li.Report()
+	}
+	synctest.Wait()
+}
+
 // settleTime is the time after which an allocator that has started again gives out slots.
 const settleTime = 4 * time.Second
 
--- a/internal/ratelimit/peers.go
+++ b/internal/ratelimit/peers.go
@@ -90,6 +90,18 @@
 	Alive, Total int
 }
 
+// Settled returns View.Settled, which is the same for all endpoints.
+func (pe *Peers) Settled() bool {
+	now := pe.Boot.Now()
+	pe.mu.Lock()
+	defer pe.mu.Unlock()
+	pe.check(now)
+	return pe.isSettled(now)
+}
+
+// isSettled is Settled. The caller must hold mu.
+func (pe *Peers) isSettled(now time.Duration) bool { return now-pe.awakeSince >= silence }
+
 // View returns what this instance knows, for an endpoint in a given zone.
 func (pe *Peers) View(endpoint, zone string) View {
 	now := pe.Boot.Now()
@@ -97,7 +109,7 @@
 	pe.mu.Lock()
 	defer pe.mu.Unlock()
 	pe.check(now)
-	vi := View{Settled: now-pe.awakeSince >= silence}
+	vi := View{Settled: pe.isSettled(now)}
 	best := rankOf{}
 	for ix, me := range list {
 		alive, counts := pe.status(me, now)
@@ -147,7 +159,7 @@
 		co = contact{at: now, listedOnly: true}
 		pe.heard[me.Name] = co
 	}
-	if now-pe.awakeSince < silence {
+	if !pe.isSettled(now) {
 		return true, true
 	}
 	return !co.listedOnly && now-co.at <= silence, now-co.at <= forgetAfter
