backpressure: take over statements that are older than the machine

Merge compared the time of a statement with that of the last known one, which is zero if nothing is known. The time of a statement that is older than the own machine is below zero, so that a new process dropped it: limits, brittleness and leaving of endpoints that had spoken before the machine's start, and all that an endpoint told the control API, whose age is the uptime of the other machine.

TestNewProcessTakesOverWhatEndpointsSaid before: 7 of 12 cases failed (no error instead of full, left or limited). Now all pass. go test -race ./internal/backpressure: ok.

--- a/internal/backpressure/statement.go
+++ b/internal/backpressure/statement.go
@@ -81,7 +81,8 @@
 	at := now - max(sm.Age, 0)
 	en := roster.Endpoint{ID: sm.Endpoint, Started: sm.Started}
 	re.update(en, func(st state) state {
-		if st.observedAt > at {
+		// The statement may be older than the machine, so that at is below zero.
+		if st.observedAt > at && st.observedAt != 0 {
 			return st
 		}
 		st.leaving = st.leaving || sm.Leaving
