backpressure: take over that an endpoint leaves from older statements

A statement older than another instance's changed nothing, also if it said that the endpoint leaves, which doesn't end without a restart.

TestLeavingIsTakenOverInAnyOrder before: no error instead of left. Now it passes. go test -race ./internal/backpressure ./internal/loadshare ./internal/gateway: ok.

--- a/internal/backpressure/restart_test.go
+++ b/internal/backpressure/restart_test.go
@@ -53,3 +53,17 @@
 		}
 	}
 }
+
+// Guards against requests to an endpoint that leaves: that was dropped if the instance that
+// told it had not had an answer since, and another one had told of a later answer.
+func TestLeavingIsTakenOverInAnyOrder(t *testing.T) {
+	g := NewWithT(t)
+	boot := &boottime.Manual{}
+	boot.Advance(time.Hour)
+	ga, en := newGate(nil, boot, Signal{}), roster.Endpoint{ID: "e1", Started: 5}
+	ga.Registry.Merge([]Statement{{Endpoint: en.ID, Started: 5, Limit: limitOf(1).Limit, Age: time.Second}})
+	ga.Registry.Merge([]Statement{{Endpoint: en.ID, Started: 5, Leaving: true, Age: 2 * time.Second}})
+	_, err := ga.Request(t.Context(), en, Terms{})
+	g.Expect(kindOf(err)).To(Equal(Left))
+	g.Expect(ga.Registry.IsLimited(en)).To(BeTrue())
+}
--- a/internal/backpressure/statement.go
+++ b/internal/backpressure/statement.go
@@ -69,7 +69,7 @@
 }
 
 // Merge records statements that endpoints made to another instance. A statement
-// that is older than what is known of the endpoint changes nothing.
+// that is older than what is known of the endpoint tells only that it leaves.
 func (re *Registry) Merge(list []Statement) {
 	for _, sm := range list {
 		re.mergeOne(sm)
@@ -81,11 +81,12 @@
 	at := now - max(sm.Age, 0)
 	en := roster.Endpoint{ID: sm.Endpoint, Started: sm.Started}
 	re.update(en, func(st state) state {
+		// An endpoint does not stop leaving.
+		st.leaving = st.leaving || sm.Leaving
 		// The statement may be older than the machine, so that at is below zero.
 		if st.observedAt > at && st.observedAt != 0 {
 			return st
 		}
-		st.leaving = st.leaving || sm.Leaving
 		st.setLimit(sm.Limit, at)
 		st.brittle = sm.Brittle
 		return st
