--- a/internal/ratelimit/simulation_test.go
+++ b/internal/ratelimit/simulation_test.go
@@ -219,6 +219,10 @@
 			si.start(al, al.limiter.Peers.Self)
 		},
 	},
+	{
+		name: "the allocator restarts at once", leastUsed: 0.6,
+		begin: func(si *simulation, al *simulatedInstance) { si.start(al, al.limiter.Peers.Self) },
+	},
 	{
 		name: "half of the messages are lost for a while", leastUsed: 0.6,
 		begin: func(si *simulation, _ *simulatedInstance) { si.lossRate = 0.5 },
