relay: ask for evacuated zones at the start

A new process that reads the store itself used all zones from when it had the endpoints until it had the list of evacuated zones, and so did the instances that read the store through it. The inquiry now brings the evacuated zones with Relay.Status, in a new field; they hold until the list has come. Instances of earlier versions neither send nor read it.

TestNewProcessLeavesEvacuatedZonesAlone before: the endpoint of the evacuated zone was usable.

--- a/internal/relay/inquire.go
+++ b/internal/relay/inquire.go
@@ -7,13 +7,17 @@
 )
 
 // Inquire asks an instance for its configuration and takes it over if it is newer than
-// the one in force. A store that was restored from an older copy may lack it. Inquire
-// reports whether the instance knows what others know.
+// the one in force. A store that was restored from an older copy may lack it. It also takes
+// over the evacuated zones, until their list has come. Inquire reports whether the instance
+// knows what others know.
 func (sw *Switch) Inquire(ctx context.Context, me loadshare.Member) (informed bool, err error) {
 	var st Status
 	if err := sw.call(ctx, me, statusTimeout, "Status", None{}, &st); err != nil {
 		return false, err
 	}
+	if len(st.Zones) > 0 {
+		sw.Roster.AddEvacuatedZones(st.Zones)
+	}
 	switch {
 	case st.Version == 0 && st.ConfigurationAge < unknownAge:
 		// An instance of an earlier version does not tell its configuration's.
--- /dev/null
+++ b/internal/relay/restart_test.go
@@ -0,0 +1,31 @@
+package relay
+
+import (
+	"testing"
+
+	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+
+	"filbertstall.example/filbertstall/internal/loadshare"
+)
+
+// Guards against requests to an evacuated zone: a new process, and all that read the store
+// through it, used all zones until it had read the list of evacuated ones.
+func TestNewProcessLeavesEvacuatedZonesAlone(t *testing.T) {
+	g := NewWithT(t)
+	other, no := newNode(), newNode()
+	other.put("e1")
+	other.roster.SetEvacuatedZones([]string{"a"})
+	sw := &Switch{Log: &no.log, Caller: &caller{log: &other.log}, State: &no.state, Roster: &no.roster, Boot: no.boot, Logger: zerolog.Nop()}
+	_, err := sw.Inquire(t.Context(), loadshare.Member{})
+	g.Expect(err).NotTo(HaveOccurred())
+	no.put("e1")
+	_, usable := no.roster.View().Usable("e1")
+	g.Expect(usable).To(BeFalse(), "it reads the store itself")
+	g.Expect(no.ask(Query{}).Zones).To(ConsistOf("a"), "others follow it")
+	no.roster.SetEvacuatedZones(nil)
+	_, err = sw.Inquire(t.Context(), loadshare.Member{})
+	g.Expect(err).NotTo(HaveOccurred())
+	_, usable = no.roster.View().Usable("e1")
+	g.Expect(usable).To(BeTrue(), "the list of the store counts")
+}
--- a/internal/relay/service.go
+++ b/internal/relay/service.go
@@ -68,6 +68,9 @@
 	Version int64
 	// Informed reports that the sender has run for long enough to know what others know.
 	Informed bool
+	// Zones are the zones that operators have evacuated, as far as the sender knows.
+	// Instances of earlier versions send none.
+	Zones []string
 }
 
 // Status returns the state of this instance as a reader.
@@ -78,5 +81,6 @@
 	*st = se.lo.status()
 	st.Version = se.lo.versionInForce() + 1
 	st.Informed = se.lo.Informed == nil || se.lo.Informed()
+	st.Zones = se.lo.Roster.View().Evacuated()
 	return nil
 }
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -61,6 +61,8 @@
 	// grace period.
 	retained  map[string]time.Time
 	evacuated map[string]bool
+	// evacuatedListed is set once SetEvacuatedZones was called.
+	evacuatedListed bool
 	// departed has the endpoints that were removed within departedPeriod.
 	departed map[string]departure
 	// restored is set until the next list after the store was restored from an older
@@ -203,9 +205,29 @@
 	})
 }
 
+// AddEvacuatedZones adds zones that are evacuated by what another instance knows, until
+// the list of the store, or of a reader, is known.
+func (ro *Roster) AddEvacuatedZones(zones []string) {
+	ro.update(func(time.Time) []Endpoint {
+		if ro.evacuatedListed {
+			return nil
+		}
+		if ro.evacuated == nil {
+			ro.evacuated = make(map[string]bool)
+		}
+		for _, zone := range zones {
+			ro.evacuated[zone] = true
+		}
+		return nil
+	})
+}
+
 // SetEvacuatedZones replaces the set of zones whose endpoints get no new
 // requests. The argument must be sorted.
 func (ro *Roster) SetEvacuatedZones(zones []string) {
+	ro.mu.Lock()
+	ro.evacuatedListed = true
+	ro.mu.Unlock()
 	if slices.Equal(ro.View().Evacuated(), zones) {
 		return
 	}
