relay: take evacuated zones of an update before its endpoints

A new process published the endpoints of its first update before the zones that are evacuated, so that a request in between went to an evacuated zone.

TestNewProcessTakesZonesBeforeEndpoints before: the endpoint was usable in one view. Now in none. go test -race ./internal/relay: ok.

--- a/internal/relay/follow.go
+++ b/internal/relay/follow.go
@@ -202,8 +202,9 @@
 	if up.Era > 0 {
 		sw.Log.Eras.Note(up.Era - 1)
 	}
-	sw.Roster.Replicate(up.Full, up.Endpoints, up.Removed)
+	// A new process has no endpoints before it knows which zones are evacuated.
 	sw.Roster.SetEvacuatedZones(up.Zones)
+	sw.Roster.Replicate(up.Full, up.Endpoints, up.Removed)
 	if len(up.Members) > 0 && sw.Members.Add(up.Members) {
 		sw.Log.Observe()
 	}
--- a/internal/relay/restart_test.go
+++ b/internal/relay/restart_test.go
@@ -7,6 +7,7 @@
 	"github.com/rs/zerolog"
 
 	"filbertstall.example/filbertstall/internal/loadshare"
+	"filbertstall.example/filbertstall/internal/roster"
 )
 
 // Guards against requests to an evacuated zone: a new process, and all that read the store
@@ -29,3 +30,21 @@
 	_, usable = no.roster.View().Usable("e1")
 	g.Expect(usable).To(BeTrue(), "the list of the store counts")
 }
+
+// Guards against requests to an evacuated zone between the endpoints and the zones of one
+// update.
+func TestNewProcessTakesZonesBeforeEndpoints(t *testing.T) {
+	g := NewWithT(t)
+	reader, no := newNode(), newNode()
+	reader.put("e1")
+	reader.roster.SetEvacuatedZones([]string{"a"})
+	everUsable := false
+	no.roster = roster.Roster{Clock: no.clock, Log: zerolog.Nop(), OnChange: func() {
+		_, usable := no.roster.View().Usable("e1")
+		everUsable = everUsable || usable
+	}}
+	sw := &Switch{Log: &no.log, Roster: &no.roster}
+	sw.apply(reader.ask(Query{}))
+	g.Expect(no.roster.View().All()).To(HaveKey("e1"))
+	g.Expect(everUsable).To(BeFalse())
+}
