rollout: keep a new process from sending all to the version on trial

A process that starts during a roll-out knows no version until the list of orders was confirmed after its first look at the endpoints. Once it had the order, but no such confirmation, it took the old versions for gone and sent the version on trial all requests. It now sends the target its share until then.

--- a/internal/rollout/view.go
+++ b/internal/rollout/view.go
@@ -40,6 +40,9 @@
 	// usable has the versions other than the target that may be used. retired has those
 	// that a completed order has replaced.
 	usable, retired map[string]bool
+	// unread is set while the list of orders is older than the first sight of all versions
+	// but the target, as after a start: any of them may be the one in use.
+	unread bool
 }
 
 // view is what the request path reads.
@@ -83,7 +86,7 @@
 		return append(news, olds...)
 	case ru.mode != shared || len(news) == 0:
 		return olds
-	case len(olds) == 0 || request != "" && position(service, ru.target, request) < ru.share:
+	case len(olds) == 0 && !ru.unread || request != "" && position(service, ru.target, request) < ru.share:
 		return ru.pick(news)
 	}
 	return olds
