--- a/internal/budget/budget_test.go
+++ b/internal/budget/budget_test.go
@@ -75,3 +75,20 @@
 	extra = 1
 	g.Expect(wi.Take("s")).To(BeFalse())
 }
+
+// A process that starts again does not know the retries of the one before: its instance may
+// make up to twice its part of the extra ones in one window.
+func TestNewProcessHasItsPartAnew(t *testing.T) {
+	g := NewWithT(t)
+	clock := clockwork.NewFakeClock()
+	const extra = 3
+	made := 0
+	for range 2 {
+		wi := &Window{Clock: clock, Span: 10 * time.Second, Extra: func() float64 { return extra }}
+		for wi.Take("s") {
+			made++
+		}
+		clock.Advance(time.Second)
+	}
+	g.Expect(made).To(Equal(2 * extra))
+}
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -147,6 +147,16 @@
 			g.Expect(reasonOf(rp)).To(Equal(ca.reason))
 		})
 	}
+	t.Run("in a new process whose configuration the store has not confirmed", func(t *testing.T) {
+		g := NewWithT(t)
+		ha := newHarness(t, succeeds)
+		cf := ha.State.Load()
+		ha.State = &routing.State{Clock: ha.boot}
+		ha.State.Put(cf)
+		g.Expect(reasonOf(ha.send("/read/"))).To(Equal(refusal.NoConfiguration))
+		ha.State.Confirm(ha.boot.Now())
+		g.Expect(reasonOf(ha.send("/read/"))).To(BeEmpty())
+	})
 	t.Run("before the first configuration", func(t *testing.T) {
 		g := NewWithT(t)
 		ha := newHarness(t, succeeds)
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -218,3 +218,25 @@
 	g.Expect(si.events()).To(Equal([]string{"restored"}))
 	g.Consistently(sc.recordedCalls, "50ms").Should(HaveLen(4))
 }
+
+// A process that starts after the store was restored takes its era for the first one. Later
+// eras are noticed as in other processes.
+func TestNewProcessTakesTheErasOfTheStoreFromItsFirst(t *testing.T) {
+	g := NewWithT(t)
+	for _, ca := range []struct {
+		told int64
+		got  []string
+	}{{-1, []string{"restored"}}, {1, []string{"restored", "restored"}}} {
+		eras := &Eras{}
+		if ca.told >= 0 {
+			eras.Note(ca.told) // a reader has told it of the era before
+		}
+		sc, si := &scriptedSource{steps: []step{{at: 4, era: 2}, {err: ErrRestored}, {at: 3, era: 3}}}, &sink{}
+		fo := &Follower[string]{Kind: "k", Source: sc, Sink: si, Clock: clockwork.NewRealClock(), Boot: &boottime.Manual{}, Log: zerolog.Nop(), Eras: eras}
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() { _ = fo.Run(ctx) }()
+		g.Eventually(sc.recordedCalls, "5s").Should(Equal([]string{"list", "watch 4", "list", "watch 3"}))
+		g.Expect(si.events()).To(Equal(ca.got))
+		cancel()
+	}
+}
--- a/internal/gateway/restart_test.go
+++ b/internal/gateway/restart_test.go
@@ -10,11 +10,13 @@
 
 	"filbertstall.example/filbertstall/internal/backpressure"
 	"filbertstall.example/filbertstall/internal/boottime"
+	"filbertstall.example/filbertstall/internal/dispatch"
 	"filbertstall.example/filbertstall/internal/feed"
 	"filbertstall.example/filbertstall/internal/loadshare"
 	"filbertstall.example/filbertstall/internal/outlier"
 	"filbertstall.example/filbertstall/internal/ratelimit"
 	"filbertstall.example/filbertstall/internal/roster"
+	"filbertstall.example/filbertstall/internal/routing"
 	"filbertstall.example/filbertstall/internal/suspicion"
 )
 
@@ -54,3 +56,52 @@
 	gw.forgetEndpoints()
 	g.Expect(gw.signals.IsBrittle(en)).To(BeFalse())
 }
+
+// A new process is ready once the store has confirmed the configuration recently and has
+// an endpoint that may be used, whoever tells it so.
+func TestNewProcessIsReadyOnceTheStoreHasConfirmed(t *testing.T) {
+	g := NewWithT(t)
+	for range 2 { // the second one is the process after a restart
+		gw := newProcess()
+		gw.state = routing.State{Clock: gw.Boot}
+		ages := func() dispatch.MaxAges { return dispatch.MaxAges{Key: 4 * time.Second} }
+		ready := &readiness{state: &gw.state, roster: &gw.roster, maxAges: ages, log: gw.Log}
+		g.Expect(ready.check()).To(BeFalse())
+		gw.state.Put(routing.New(routing.Spec{Version: 4}))
+		gw.state.Confirm(gw.Boot.Now())
+		g.Expect(ready.check()).To(BeFalse(), "without an endpoint")
+		gw.roster.Reset(listOf(roster.Endpoint{ID: "e1", Service: "s"}))
+		g.Expect(ready.check()).To(BeTrue())
+		gw.state = routing.State{Clock: gw.Boot}
+		gw.state.Put(routing.New(routing.Spec{Version: 4}))
+		g.Expect(ready.check()).To(BeFalse(), "not confirmed")
+		gw.state.Confirm(gw.Boot.Now() - 5*time.Second)
+		g.Expect(ready.check()).To(BeFalse(), "confirmed to its reader too long ago")
+		gw.state.Confirm(gw.Boot.Now())
+		g.Expect(ready.check()).To(BeTrue())
+	}
+}
+
+// A version and an evacuation that a restored store has lost, and nobody running knows, are
+// not in force until operators write them again.
+func TestNewProcessServesTheCopyOfARestoredStore(t *testing.T) {
+	g := NewWithT(t)
+	gw := newProcess()
+	gw.state = routing.State{Clock: gw.Boot}
+	cs := &configurationSink{name: "c", state: &gw.state, log: gw.Log, onAnswer: func() {}}
+	es := &evacuationSink{roster: &gw.roster, clock: gw.Clock}
+	configuration := func(version int64) []feed.Object[routing.Configuration] {
+		return []feed.Object[routing.Configuration]{{Name: "c", Value: routing.New(routing.Spec{Version: version})}}
+	}
+	gw.roster.Reset(listOf(roster.Endpoint{ID: "e1", Zone: "a"}))
+	cs.Reset(configuration(4)) // it had version 5
+	es.Reset(nil)              // it had zone a
+	_, usable := gw.roster.View().Usable("e1")
+	g.Expect(usable).To(BeTrue())
+	g.Expect(gw.state.Load().Version).To(BeEquivalentTo(4))
+	cs.Reset(configuration(5))
+	es.Apply([]feed.Change[string]{{Object: feed.Object[string]{Name: "a"}}})
+	_, usable = gw.roster.View().Usable("e1")
+	g.Expect(usable).To(BeFalse())
+	g.Expect(gw.state.Load().Version).To(BeEquivalentTo(5))
+}
