rollout: use the version in use from the first look on

A process that had read the list of orders before the endpoints, with an order in it, or that saw a target beside the version in use, used no version until the list was confirmed again: up to 4 s at an instance that reads the store, in which it was ready and refused all requests of the service. If one version only can have been in use when the service is first seen, it is now used at once; the target of the order is none of them.

TestNewProcessUsesTheVersionInUse before: none of 1000 requests had an endpoint. Now as many as after the confirmation. go test -race ./internal/rollout ./internal/gateway: ok.

--- a/internal/rollout/registry.go
+++ b/internal/rollout/registry.go
@@ -39,8 +39,10 @@
 // service is what is known of one service. It is kept while the service has an order,
 // endpoints or versions that must not be used.
 type service struct {
-	name      string
-	versions  map[string]*version
+	name     string
+	versions map[string]*version
+	// firstSeen is when the first of versions was seen.
+	firstSeen time.Time
 	endpoints []roster.Endpoint
 	rollout   *rollout
 	// ranked are the IDs of the target's endpoints in the order in which they are
@@ -93,6 +95,7 @@
 	if ve := se.versions[or.Target]; ve != nil {
 		ve.withdrawn = false
 	}
+	se.useOnlyVersion()
 	se.ranked = nil
 	se.rollout.put(or, now)
 }
--- a/internal/rollout/restart_test.go
+++ b/internal/rollout/restart_test.go
@@ -74,3 +74,33 @@
 	restarted.confirm()
 	g.Expect(restarted.versions()).To(Equal(map[string]int{"v2": 1000}))
 }
+
+// Guards against a new process that refuses all requests of a service although it is ready:
+// with an order in the list, it did not use the version in use until the list was confirmed
+// again, for seconds if it had read the list before the endpoints.
+func TestNewProcessUsesTheVersionInUse(t *testing.T) {
+	for _, endpointsFirst := range []bool{false, true} {
+		for _, st := range []State{Pending, Canary, Promoting, Completed, RolledBack} {
+			for _, versions := range [][]string{{"v1"}, {"v1", "v2"}} {
+				g := NewWithT(t)
+				be := newBed("a")
+				be.clock.Advance(time.Second)
+				if endpointsFirst {
+					be.start(versions...)
+				}
+				be.Put([]Order{order("v2", st)})
+				be.Confirmed(be.clock.Now().Add(-time.Millisecond))
+				if !endpointsFirst {
+					be.start(versions...)
+				}
+				unread := be.versions()
+				be.confirm()
+				g.Expect(unread).NotTo(HaveKey("none"), "%v %v", st, versions)
+				g.Expect(unread).To(Equal(be.versions()), "%v %v", st, versions)
+				be.clock.Advance(time.Second)
+				be.start("v3")
+				g.Expect(be.versions()).NotTo(Or(HaveKey("v3"), HaveKey("both")), "not the first look")
+			}
+		}
+	}
+}
--- a/internal/rollout/version.go
+++ b/internal/rollout/version.go
@@ -30,20 +30,40 @@
 // observe enters the versions of the present endpoints. The first version of a service
 // is used at once if it is the only one.
 func (se *service) observe(now time.Time) {
-	first := len(se.versions) == 0
+	if len(se.versions) == 0 {
+		se.firstSeen = now
+	}
 	for _, en := range se.endpoints {
 		se.version(en.Version, now).presentAt = now
 	}
+	se.useOnlyVersion()
 	for name, ve := range se.versions {
-		if first && len(se.versions) == 1 && se.rollout == nil {
-			ve.known = true
-		}
 		if now.Sub(ve.presentAt) > forgetPeriod && (se.rollout == nil || se.rollout.order.Target != name) {
 			delete(se.versions, name)
 		}
 	}
 }
 
+// useOnlyVersion marks the version that was in use before this instance first saw the
+// service, if only one can be: the target of an order was not.
+func (se *service) useOnlyVersion() {
+	var only *version
+	for name, ve := range se.versions {
+		switch {
+		case ve.known || !ve.seenAt.Equal(se.firstSeen):
+			return
+		case se.rollout != nil && se.rollout.order.Target == name:
+		case only != nil:
+			return
+		default:
+			only = ve
+		}
+	}
+	if only != nil {
+		only.known = true
+	}
+}
+
 // idle reports whether nothing needs to be remembered of the service.
 func (se *service) idle() bool {
 	return len(se.endpoints)+len(se.versions) == 0 && se.rollout == nil
