gateway: confirm orders soon while endpoints are not listed

A process that reads the store itself and had the list of orders before the endpoints watched the orders for 4 s, without knowing that a service has two versions. Until the end of that call it was ready and refused all requests of the service. Before the endpoints are listed, the call now waits 500 ms.

--- a/internal/gateway/restart_test.go
+++ b/internal/gateway/restart_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -15,6 +16,7 @@
 	"filbertstall.example/filbertstall/internal/loadshare"
 	"filbertstall.example/filbertstall/internal/outlier"
 	"filbertstall.example/filbertstall/internal/ratelimit"
+	"filbertstall.example/filbertstall/internal/rollout"
 	"filbertstall.example/filbertstall/internal/roster"
 	"filbertstall.example/filbertstall/internal/routing"
 	"filbertstall.example/filbertstall/internal/suspicion"
@@ -105,3 +107,34 @@
 	g.Expect(usable).To(BeFalse())
 	g.Expect(gw.state.Load().Version).To(BeEquivalentTo(5))
 }
+
+// waits records how long calls that watch orders wait.
+type waits struct {
+	feed.Source[rollout.Order]
+	last time.Duration
+}
+
+func (wa *waits) Watch(_ context.Context, after feed.Position, wait time.Duration) ([]feed.Change[rollout.Order], feed.Position, error) {
+	wa.last = wait
+	return nil, after, nil
+}
+
+// Guards against a new process that is ready and refuses all requests of a service with two
+// versions for seconds: it had begun a long call about the orders before it knew them.
+func TestNewProcessConfirmsOrdersSoon(t *testing.T) {
+	g := NewWithT(t)
+	gw, wa := newProcess(), &waits{}
+	rs := rolloutSource{Source: wa, orders: nil, roster: &gw.roster}
+	one, two := roster.Endpoint{ID: "e1", Version: "v1"}, roster.Endpoint{ID: "e2", Version: "v2"}
+	for _, step := range []struct {
+		list []feed.Object[roster.Endpoint]
+		want time.Duration
+	}{{nil, orderedWait}, {listOf(one, two), orderedWait}, {listOf(one), rolloutsWait}} {
+		if step.list != nil {
+			gw.roster.Reset(step.list)
+		}
+		_, _, err := rs.Watch(t.Context(), feed.Position{}, rolloutsWait)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(wa.last).To(Equal(step.want))
+	}
+}
--- a/internal/gateway/rollout.go
+++ b/internal/gateway/rollout.go
@@ -342,13 +342,18 @@
 }
 
 // needsFresh reports whether an order is not finished, or a service has endpoints of
-// several versions, so that one may be new.
+// several versions, so that one may be new. Before the endpoints are listed, that is not
+// known.
 func (rs rolloutSource) needsFresh() bool {
+	vi := rs.roster.View()
+	if !vi.Listed {
+		return true
+	}
 	if slices.ContainsFunc(rs.orders.List(), func(or rollout.Order) bool { return !or.State.Final() }) {
 		return true
 	}
 	versions := make(map[string]string)
-	for _, en := range rs.roster.View().All() {
+	for _, en := range vi.All() {
 		if before, seen := versions[en.Service]; seen && before != en.Version {
 			return true
 		}
