--- a/internal/rollout/publish.go
+++ b/internal/rollout/publish.go
@@ -27,12 +27,7 @@
 }
 
 func (re *Registry) rule(se *service, now time.Time) *rule {
-	ru := &rule{usable: make(map[string]bool, len(se.versions))}
-	for name, ve := range se.versions {
-		if ve.known && !ve.withdrawn {
-			ru.usable[name] = true
-		}
-	}
+	ru := &rule{usable: se.usableVersions()}
 	ro := se.rollout
 	if ro == nil {
 		se.useWithdrawn(ru)
@@ -60,6 +55,17 @@
 	return ru
 }
 
+// usableVersions returns the versions that may be used by what is known of the orders.
+func (se *service) usableVersions() map[string]bool {
+	usable := make(map[string]bool, len(se.versions))
+	for name, ve := range se.versions {
+		if ve.known && !ve.withdrawn {
+			usable[name] = true
+		}
+	}
+	return usable
+}
+
 // modeOf returns what the state of an order and the evidence allow. A stage that was
 // not confirmed recently is not begun; one that was confirmed is kept.
 func (re *Registry) modeOf(ro *rollout, now time.Time) mode {
