--- a/internal/rollout/publish.go
+++ b/internal/rollout/publish.go
@@ -27,12 +27,7 @@
 }
 
 func (re *Registry) rule(se *service, now time.Time) *rule {
-	ru := &rule{usable: make(map[string]bool, len(se.versions))}
-	for name, ve := range se.versions {
-		if ve.known && !ve.withdrawn {
-			ru.usable[name] = true
-		}
-	}
+	ru := &rule{usable: se.usableVersions()}
 	ro := se.rollout
 	if ro == nil {
 		se.useWithdrawn(ru)
@@ -46,6 +41,7 @@
 	if alone && ro.inUse && ro.state == Pending {
 		ru.mode = shared
 	}
+	ru.unread = others > 0 && len(ru.usable) == 0 && se.hasUnread(ru.target)
 	ru.leaving = ro.bad || ro.state == RolledBack
 	switch ru.mode {
 	case shared:
@@ -59,6 +55,17 @@
 	return ru
 }
 
+// usableVersions returns the versions that may be used by what is known of the orders.
+func (se *service) usableVersions() map[string]bool {
+	usable := make(map[string]bool, len(se.versions))
+	for name, ve := range se.versions {
+		if ve.known && !ve.withdrawn {
+			usable[name] = true
+		}
+	}
+	return usable
+}
+
 // modeOf returns what the state of an order and the evidence allow. A stage that was
 // not confirmed recently is not begun; one that was confirmed is kept.
 func (re *Registry) modeOf(ro *rollout, now time.Time) mode {
@@ -73,6 +80,17 @@
 	return shared
 }
 
+// hasUnread reports whether the list of orders is older than the first sight of a version
+// other than the target.
+func (se *service) hasUnread(target string) bool {
+	for name, ve := range se.versions {
+		if name != target && !ve.known {
+			return true
+		}
+	}
+	return false
+}
+
 // useWithdrawn lets versions be used whose order was removed, if there is no other.
 func (se *service) useWithdrawn(ru *rule) {
 	for _, en := range se.endpoints {
