rollout: a version that appears beside the target stops no requests

Cause: keeps the requests of a new process from the target while no other version may be used and the list of orders is older than the other versions. That holds without a restart, too: the target runs alone in its canary, the versions before it are forgotten, and an endpoint of another version starts. Until the list was confirmed again, requests outside the target's share were refused.

Change: only a list that is older than the first sight of the service counts.

--- a/internal/rollout/publish.go
+++ b/internal/rollout/publish.go
@@ -41,7 +41,7 @@
 	if alone && ro.inUse && ro.state == Pending {
 		ru.mode = shared
 	}
-	ru.unread = others > 0 && len(ru.usable) == 0 && se.hasUnread(ru.target)
+	ru.unread = others > 0 && len(ru.usable) == 0 && re.confirmedAt.Before(se.firstSeen)
 	ru.leaving = ro.bad || ro.state == RolledBack
 	switch ru.mode {
 	case shared:
@@ -80,17 +80,6 @@
 	return shared
 }
 
-// hasUnread reports whether the list of orders is older than the first sight of a version
-// other than the target.
-func (se *service) hasUnread(target string) bool {
-	for name, ve := range se.versions {
-		if name != target && !ve.known {
-			return true
-		}
-	}
-	return false
-}
-
 // useWithdrawn lets versions be used whose order was removed, if there is no other.
 func (se *service) useWithdrawn(ru *rule) {
 	for _, en := range se.endpoints {
--- a/internal/rollout/view.go
+++ b/internal/rollout/view.go
@@ -40,8 +40,8 @@
 	// usable has the versions other than the target that may be used. retired has those
 	// that a completed order has replaced.
 	usable, retired map[string]bool
-	// unread is set while the list of orders is older than the first sight of all versions
-	// but the target, as after a start: any of them may be the one in use.
+	// unread is set while the list of orders is older than the first sight of the service,
+	// as after a start: any version but the target may be the one in use.
 	unread bool
 }
 
