rollout: the target of a completed order may be the version in use

Cause: lets a new process use a version at once if it is the only one at the first look that is not the target of an order. The target of a completed order is in use, so that the other version may be that of an order which was not read yet. If the endpoints came more than 5 s (retirePeriod) after the orders, the other version counted neither as replaced nor as unknown, and got requests like the target.

Change: such a target counts as a version that can have been in use.

--- a/internal/rollout/appear_test.go
+++ b/internal/rollout/appear_test.go
@@ -33,3 +33,20 @@
 	be.start("v3")
 	g.Expect(be.versions()).To(Equal(map[string]int{"v2": 1000}), "as before")
 }
+
+// Guards against a new process that uses a version which an order may name that it has not
+// read: it took the target of a completed order for one that was never in use.
+func TestNewProcessWithACompletedOrderThatMayBeOld(t *testing.T) {
+	g := NewWithT(t)
+	be := newBed("a")
+	be.Put([]Order{order("v2", Completed)})
+	be.confirm()
+	be.clock.Advance(retirePeriod + time.Second)
+	be.start("v2", "v3")
+	g.Expect(be.versions()).To(Equal(map[string]int{"v2": 1000}), "an order for v3 may exist")
+	be.Put([]Order{order("v3", Canary)})
+	be.confirm()
+	counts := be.versions()
+	g.Expect(counts["v3"]).To(BeNumerically("<", 80))
+	g.Expect(counts["v2"]).To(Equal(1000 - counts["v3"]))
+}
--- a/internal/rollout/version.go
+++ b/internal/rollout/version.go
@@ -45,14 +45,15 @@
 }
 
 // useOnlyVersion marks the version that was in use before this instance first saw the
-// service, if only one can be: the target of an order was not.
+// service, if only one can be: the target of an order was not, unless the order was
+// completed.
 func (se *service) useOnlyVersion() {
 	var only *version
 	for name, ve := range se.versions {
 		switch {
 		case ve.known || !ve.seenAt.Equal(se.firstSeen):
 			return
-		case se.rollout != nil && se.rollout.order.Target == name:
+		case se.rollout != nil && se.rollout.order.Target == name && se.rollout.state != Completed:
 		case only != nil:
 			return
 		default:
