concurrency: a paused allocator lets the others take turns again

An instance is not settled for 3 s after a pause of a second, too, as a machine with little processor time has it. It then counted the slots from before the pause: while one long request was in progress it gave out none for 3 s, and the others did not take turns, since it answered as the allocator. With pauses every 3.7 s the endpoint got nothing at all.

Change: the rule is for the first 3 s of a process (ratelimit.View.Starting). After a pause the allocator answers that it is none, as before: calls that waited in its sockets would also get slots that nobody uses.

--- a/internal/concurrency/allocator.go
+++ b/internal/concurrency/allocator.go
@@ -63,8 +63,8 @@
 	since, usedAt time.Duration
 	// slots is how many requests this part of the fleet may have in progress.
 	slots int
-	// settled is ratelimit.View.Settled of this instance.
-	settled bool
+	// starting is ratelimit.View.Starting of this instance.
+	starting bool
 	// taken maps the slots that are given out, by number, to the end of their leases.
 	taken map[uint64]time.Duration
 	// holds has the requests in progress that have no slot of this account, by instance.
@@ -136,7 +136,8 @@
 // Take gives out a slot, if this instance is the allocator and there is one in time.
 func (al *Allocator) Take(ar TakeArgs) TakeReply {
 	vi := al.Peers.View(ar.Endpoint, ar.Zone)
-	if vi.Allocator == nil || vi.Allocator.Name != al.Peers.Self.Name {
+	if vi.Allocator == nil || vi.Allocator.Name != al.Peers.Self.Name || !vi.Settled && !vi.Starting {
+		// After a pause, a call may have waited for so long that nobody would use the slot.
 		return TakeReply{}
 	}
 	slots := ar.Slots * vi.Alive / max(vi.Total, 1)
@@ -144,7 +145,7 @@
 		// The part that can be reached has less than a slot; its instances take turns.
 		return TakeReply{}
 	}
-	slot, wa := al.takeOrWait(ar, slots)
+	slot, wa := al.takeOrWait(ar, slots, vi.Starting)
 	if wa == nil {
 		return TakeReply{IsAllocator: true, Epoch: al.Epoch(), Slot: slot}
 	}
@@ -159,11 +160,11 @@
 }
 
 // takeOrWait takes a free slot, or else adds a waiter if the request can wait.
-func (al *Allocator) takeOrWait(ar TakeArgs, slots int) (uint64, *waiter) {
+func (al *Allocator) takeOrWait(ar TakeArgs, slots int, starting bool) (uint64, *waiter) {
 	al.mu.Lock()
 	defer al.mu.Unlock()
 	en := al.endpoint(ar.key())
-	en.slots, en.settled = slots, al.Peers.Settled()
+	en.slots, en.starting = slots, starting
 	al.grantWaiting(en)
 	if len(en.waiting) == 0 && en.hasRoom(al.Boot.Now()) {
 		return al.grant(en, ar.Lease), nil
@@ -218,7 +219,7 @@
 	if en.room >= 0 {
 		bound = min(bound, en.room+int((now-en.roomAt)/roomStep))
 	}
-	if !en.settled && (now-en.since < reportInterval+collectTime || len(en.taken) > 0) {
+	if en.starting && (now-en.since < reportInterval+collectTime || len(en.taken) > 0) {
 		return false
 	}
 	return now-en.since >= collectTime && en.inProgress() < bound
@@ -291,11 +292,11 @@
 // Check gives out slots that have become free by the passing of time. It must be called
 // several times a second.
 func (al *Allocator) Check() {
-	settled := al.Peers.Settled()
+	starting := al.Peers.Starting()
 	al.mu.Lock()
 	defer al.mu.Unlock()
 	for _, en := range al.endpoints {
-		en.settled = settled
+		en.starting = starting
 		al.grantWaiting(en)
 	}
 }
--- a/internal/ratelimit/peers.go
+++ b/internal/ratelimit/peers.go
@@ -37,9 +37,9 @@
 	// instance was first listed.
 	heard map[string]contact
 	// checkedAt is when Check was last called. awakeSince is the end of the last
-	// time for which this process did not run.
-	checkedAt, awakeSince time.Duration
-	started               bool
+	// time for which this process did not run, startedAt its start.
+	checkedAt, awakeSince, startedAt time.Duration
+	started                          bool
 }
 
 type contact struct {
@@ -71,8 +71,11 @@
 	if pe.heard == nil {
 		pe.heard = make(map[string]contact)
 	}
-	if !pe.started || now-pe.checkedAt > maxGap {
-		pe.started, pe.awakeSince = true, now
+	switch {
+	case !pe.started:
+		pe.started, pe.startedAt, pe.awakeSince = true, now, now
+	case now-pe.checkedAt > maxGap:
+		pe.awakeSince = now
 	}
 	pe.checkedAt = now
 }
@@ -85,23 +88,31 @@
 	// Settled is set if this instance has run without a pause for long enough that
 	// the others and it know of each other.
 	Settled bool
+	// Starting is set if it is not settled because its process has just started, and not
+	// because of a pause.
+	Starting bool
 	// Alive is the number of instances that are alive, and Total the number that
 	// are alive or cut off.
 	Alive, Total int
 }
 
-// Settled returns View.Settled, which is the same for all endpoints.
-func (pe *Peers) Settled() bool {
+// Starting returns View.Starting, which is the same for all endpoints.
+func (pe *Peers) Starting() bool {
 	now := pe.Boot.Now()
 	pe.mu.Lock()
 	defer pe.mu.Unlock()
 	pe.check(now)
-	return pe.isSettled(now)
+	return pe.isStarting(now)
 }
 
-// isSettled is Settled. The caller must hold mu.
+// isSettled is View.Settled. The caller must hold mu.
 func (pe *Peers) isSettled(now time.Duration) bool { return now-pe.awakeSince >= silence }
 
+// isStarting is View.Starting. The caller must hold mu.
+func (pe *Peers) isStarting(now time.Duration) bool {
+	return !pe.isSettled(now) && pe.awakeSince == pe.startedAt
+}
+
 // View returns what this instance knows, for an endpoint in a given zone.
 func (pe *Peers) View(endpoint, zone string) View {
 	now := pe.Boot.Now()
@@ -109,7 +120,7 @@
 	pe.mu.Lock()
 	defer pe.mu.Unlock()
 	pe.check(now)
-	vi := View{Settled: pe.isSettled(now)}
+	vi := View{Settled: pe.isSettled(now), Starting: pe.isStarting(now)}
 	best := rankOf{}
 	for ix, me := range list {
 		alive, counts := pe.status(me, now)
