concurrency: instances without an allocator share the free slots

Cause: while an allocator does not answer, each instance of the group whose turn it is sends a request if the endpoint is known to have a free slot (Limiter.Running, as the others told within a second). For one free slot, the whole group sent a request each.

Change: an instance sends one only if there is room when each instance before it sends one, too; their order within the group changes with each turn. Where nothing is known to be in progress, as in an instance that is cut off, nothing changes.

--- a/internal/concurrency/concurrency_test.go
+++ b/internal/concurrency/concurrency_test.go
@@ -92,11 +92,17 @@
 }
 
 // exchange delivers the messages between instances for which heard returns true.
-func (fl *fleet) exchange(heard func(from, to int) bool) {
+func (fl *fleet) exchange(heard func(from, to int) bool) { fl.exchangeWithout(nil, heard) }
+
+// exchangeWithout is exchange without an instance that does not run.
+func (fl *fleet) exchangeWithout(halted *Limiter, heard func(from, to int) bool) {
 	for to, li := range fl.limiters {
+		if li == halted {
+			continue
+		}
 		li.Peers.Check()
 		for from, other := range fl.limiters {
-			if from != to && heard(from, to) {
+			if from != to && other != halted && heard(from, to) {
 				li.Peers.Heard(other.Peers.Self.Name)
 			}
 		}
--- a/internal/concurrency/doc.go
+++ b/internal/concurrency/doc.go
@@ -16,8 +16,9 @@
 // A slot that is not given back, because its instance has stopped or a message was lost,
 // is free when its lease ends. An instance that can't ask the allocator may send one
 // request at a time while it is its turn; the turns go round in groups of as many
-// instances as the endpoint has slots. An allocator that has just started collects the
-// reports first, and then gives out one slot at a time until all know of it.
+// instances as the endpoint has slots, and no more of a group send one than there are free
+// slots. An allocator that has just started collects the reports first, and then gives out
+// one slot at a time until all know of it.
 //
 // # Usage
 //
--- a/internal/concurrency/limiter.go
+++ b/internal/concurrency/limiter.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -129,17 +130,43 @@
 func (li *Limiter) takeTurn(en roster.Endpoint, ar TakeArgs, vi ratelimit.View) (us backpressure.Use, wait time.Duration, taken bool) {
 	groups := uint64((max(vi.Total, 1) + ar.Slots - 1) / ar.Slots)
 	now := li.Boot.Now()
-	group := xxhash.Sum64String(ar.Endpoint+"/"+li.Peers.Self.Name) % groups
-	if uint64(now/turnPeriod)%groups != group {
+	turn := uint64(now / turnPeriod)
+	if turn%groups != li.groupOf(li.Peers.Self.Name, ar.Endpoint, groups) {
 		return nil, turnPeriod - now%turnPeriod, false
 	}
 	ke := ar.key()
-	if li.Running != nil && li.Running(en.ID) >= ar.Slots || !li.beginTurn(ke, now) {
+	if !li.mayHaveRoom(ar, turn, groups) || !li.beginTurn(ke, now) {
 		return nil, retryAfter, false
 	}
 	return li.enter(en, grantor{}, func(turnedAway bool) { li.endTurn(ke, turnedAway) }), 0, true
 }
 
+// groupOf returns the number of the group with which an instance has its turn.
+func (li *Limiter) groupOf(name, endpoint string, groups uint64) uint64 {
+	return xxhash.Sum64String(endpoint+"/"+name) % groups
+}
+
+// mayHaveRoom reports whether the endpoint has room for a request of this instance, if each
+// instance before it sends one, too. Their order changes with each turn. Without it, all
+// instances of a group would send a request for one free slot.
+func (li *Limiter) mayHaveRoom(ar TakeArgs, turn, groups uint64) bool {
+	if li.Running == nil {
+		return true
+	}
+	running := li.Running(ar.Endpoint)
+	if running == 0 || running >= ar.Slots {
+		return running == 0
+	}
+	place := func(name string) uint64 { return xxhash.Sum64String(fmt.Sprint(ar.Endpoint, "/", name, "/", turn)) }
+	own, before := place(li.Peers.Self.Name), 0
+	for _, me := range li.Peers.Members.List() {
+		if li.groupOf(me.Name, ar.Endpoint, groups) == turn%groups && place(me.Name) < own {
+			before++
+		}
+	}
+	return running+before < ar.Slots
+}
+
 // beginTurn reports whether no request is in progress that was sent without asking, and
 // none was turned away recently.
 func (li *Limiter) beginTurn(ke key, now time.Duration) bool {
