relay: a reader that does not know the evacuated zones takes none back

Cause: an update has the evacuated zones as far as its sender knows them. A reader that had just started, and whose inquiry for the zones got no answer or went to earlier builds, was followed once it had read the endpoints and the configuration. All that followed it replaced their zones by none until the reader had read the list.

Change: the update says that the list is not known yet (Update.ZonesUnknown; earlier builds neither send nor read it). Followers add its zones then instead of replacing theirs, if they have no list themselves.

TestReaderWithoutZonesTakesNoneBack: before, the endpoint of the evacuated zone was usable after the update; now it is not, until the reader has the list.

--- a/internal/relay/follow.go
+++ b/internal/relay/follow.go
@@ -203,7 +203,11 @@
 		sw.Log.Eras.Note(up.Era - 1)
 	}
 	// A new process has no endpoints before it knows which zones are evacuated.
-	sw.Roster.SetEvacuatedZones(up.Zones)
+	if up.ZonesUnknown {
+		sw.Roster.AddEvacuatedZones(up.Zones)
+	} else {
+		sw.Roster.SetEvacuatedZones(up.Zones)
+	}
 	sw.Roster.Replicate(up.Full, up.Endpoints, up.Removed)
 	if len(up.Members) > 0 && sw.Members.Add(up.Members) {
 		sw.Log.Observe()
--- a/internal/relay/inquire.go
+++ b/internal/relay/inquire.go
@@ -15,9 +15,7 @@
 	if err := sw.call(ctx, me, statusTimeout, "Status", None{}, &st); err != nil {
 		return false, err
 	}
-	if len(st.Zones) > 0 {
-		sw.Roster.AddEvacuatedZones(st.Zones)
-	}
+	sw.Roster.AddEvacuatedZones(st.Zones)
 	switch {
 	case st.Version == 0 && st.ConfigurationAge < unknownAge:
 		// An instance of an earlier version does not send its configuration's.
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -55,6 +55,9 @@
 	MembersSequence uint64
 	// Zones are all zones that operators have evacuated.
 	Zones []string
+	// ZonesUnknown is set if the sender does not know the list of evacuated zones yet: there
+	// may be more. Instances of earlier versions don't send it.
+	ZonesUnknown bool
 	// Version is the version of the configuration in force at the sender.
 	Version int64
 	// Era is one more than the era of the store that the sender knows, or zero if it
@@ -337,7 +340,7 @@
 	up := Update{
 		Direct: st.Direct, Unable: st.Unable, Hops: st.Hops, Reader: st.Reader, ConfigurationAge: st.ConfigurationAge, EndpointsAge: st.EndpointsAge,
 		Epoch: lo.Epoch, Sequence: lo.endpoints.sequence, MembersSequence: lo.members.sequence,
-		Silent: lo.silent, Zones: lo.zones, Version: lo.version,
+		Silent: lo.silent, Zones: lo.zones, ZonesUnknown: !lo.Roster.View().ZonesListed, Version: lo.version,
 	}
 	if era, known := lo.Eras.Newest(); known {
 		up.Era = era + 1
--- a/internal/relay/restart_test.go
+++ b/internal/relay/restart_test.go
@@ -48,3 +48,21 @@
 	g.Expect(no.roster.View().All()).To(HaveKey("e1"))
 	g.Expect(everUsable).To(BeFalse())
 }
+
+// Guards against requests to an evacuated zone while the reader has just started: it read the
+// endpoints before the list of evacuated zones, and all that follow it used all zones.
+func TestReaderWithoutZonesTakesNoneBack(t *testing.T) {
+	g := NewWithT(t)
+	reader, no := newNode(), newNode()
+	no.put("e1")
+	no.roster.SetEvacuatedZones([]string{"a"})
+	reader.put("e1")
+	sw := &Switch{Log: &no.log, Roster: &no.roster}
+	sw.apply(reader.ask(Query{}))
+	_, usable := no.roster.View().Usable("e1")
+	g.Expect(usable).To(BeFalse(), "the reader does not know the zones yet")
+	reader.roster.SetEvacuatedZones(nil)
+	sw.apply(reader.ask(Query{}))
+	_, usable = no.roster.View().Usable("e1")
+	g.Expect(usable).To(BeTrue(), "the list of the store counts")
+}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -208,6 +208,9 @@
 // AddEvacuatedZones adds zones that are evacuated by what another instance knows, until
 // the list of the store, or of a reader, is known.
 func (ro *Roster) AddEvacuatedZones(zones []string) {
+	if len(zones) == 0 || ro.View().ZonesListed {
+		return
+	}
 	ro.update(func(time.Time) []Endpoint {
 		if ro.evacuatedListed {
 			return nil
@@ -225,14 +228,16 @@
 // SetEvacuatedZones replaces the set of zones whose endpoints get no new
 // requests. The argument must be sorted.
 func (ro *Roster) SetEvacuatedZones(zones []string) {
-	ro.mu.Lock()
-	ro.evacuatedListed = true
-	ro.mu.Unlock()
-	if slices.Equal(ro.View().Evacuated(), zones) {
+	vi := ro.View()
+	changed := !slices.Equal(vi.Evacuated(), zones)
+	if vi.ZonesListed && !changed {
 		return
 	}
-	ro.Log.Info().Str("event", "evacuations").Strs("zones", zones).Msg("roster: set of evacuated zones changed")
+	if changed {
+		ro.Log.Info().Str("event", "evacuations").Strs("zones", zones).Msg("roster: set of evacuated zones changed")
+	}
 	ro.update(func(time.Time) []Endpoint {
+		ro.evacuatedListed = true
 		ro.evacuated = make(map[string]bool, len(zones))
 		for _, zone := range zones {
 			ro.evacuated[zone] = true
--- a/internal/roster/view.go
+++ b/internal/roster/view.go
@@ -9,10 +9,13 @@
 // View is an immutable snapshot of the known endpoints.
 type View struct {
 	// Listed reports whether the store has been listed at least once.
-	Listed    bool
-	byService map[string][]Endpoint
-	byID      map[string]Endpoint
-	evacuated []string
+	Listed bool
+	// ZonesListed reports whether the list of evacuated zones, of the store or of a reader,
+	// is known.
+	ZonesListed bool
+	byService   map[string][]Endpoint
+	byID        map[string]Endpoint
+	evacuated   []string
 }
 
 // All returns all endpoints by ID, including leaving ones. The caller must not
@@ -49,7 +52,7 @@
 
 // newView returns the view of the current endpoints. The caller must hold mu.
 func (ro *Roster) newView() *View {
-	vi := &View{Listed: ro.listed, evacuated: slices.Sorted(maps.Keys(ro.evacuated)), byService: make(map[string][]Endpoint), byID: make(map[string]Endpoint, len(ro.endpoints))}
+	vi := &View{Listed: ro.listed, ZonesListed: ro.evacuatedListed, evacuated: slices.Sorted(maps.Keys(ro.evacuated)), byService: make(map[string][]Endpoint), byID: make(map[string]Endpoint, len(ro.endpoints))}
 	for _, en := range ro.endpoints {
 		vi.byID[en.ID] = en
 		if !en.Leaving && !ro.evacuated[en.Zone] {
