concurrency: a bound of a new test with a margin

Cause: the order of goroutines at one virtual moment is not fixed, so that the share of slots used in TestKilledAllocatorSparesBrittleEndpoints varies: 0.51 to 0.83 in 60 runs of each row (at most 1, 1 and 2 requests turned away in a second). The bound of, 0.5, is too near to that.

Change: 0.45. The bound of the requests turned away, which the test is for, stays at 2.

--- a/internal/concurrency/killed_test.go
+++ b/internal/concurrency/killed_test.go
@@ -66,7 +66,7 @@
 				lo.play(loadSpan)
 				share := lo.end(t, served, loadSpan)
 				g.Expect(lo.be.mostTurnedAway()).To(BeNumerically("<=", 2))
-				g.Expect(share).To(BeNumerically(">=", 0.5))
+				g.Expect(share).To(BeNumerically(">=", 0.45))
 			})
 		})
 	}
