dispatch: a watch that ended aborts nothing

The call at a copy and its answer share one context. An examination that began while the call had no answer, and ended after the answer had begun, gave the engine up and cancelled that context, or moved the run: the watch that had been stopped did not look at it. Failed probes from before an unsigned answer also counted, so that the engine that had answered was not asked whether it worked on the run.

A stopped watch counts as one that got data, and aborts nothing; that of a call ends when the call is answered.

TestExaminationOfACallSparesItsAnswer: before, 3 requests were sent where 2 suffice ("Expected <int>: 3 to equal <int>: 2"); passes now.

--- a/internal/dispatch/copycall.go
+++ b/internal/dispatch/copycall.go
@@ -71,6 +71,10 @@
 		di.Budget.Force(se.ta.service.Name)
 		di.recordSent(mv.Target)
 		an, err := di.Gate.Do(ctx, pe, di.Codec.Call(se.ta.Request, se.resumedAttempt(mv)))
+		if err == nil {
+			// The context is that of the answer from now on.
+			se.stopStallWatch()
+		}
 		if !backpressure.IsRefused(err) {
 			mv.Ticket.OnEnd(pe.Release)
 			se.ta.turn = suspicion.Feature{}
--- a/internal/dispatch/copycall_test.go
+++ b/internal/dispatch/copycall_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -37,3 +39,39 @@
 	g.Expect(calls.Load()).To(BeNumerically("==", 2))
 	g.Expect(ha.Tracker.Loads()).To(BeEmpty(), "all tickets are ended")
 }
+
+// Guards against the abort of a stream that has begun, by an examination that began while its
+// call at a copy had no answer yet.
+func TestExaminationOfACallSparesItsAnswer(t *testing.T) {
+	g := NewWithT(t)
+	examined := make(chan struct{})
+	answers := func(conn net.Conn, re *http.Request) {
+		if re.Header.Get("From") == "" {
+			crashes(conn, re)
+			return
+		}
+		<-examined
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: "+re.Header.Get("Id")+"\r\nProof: p\r\nTransfer-Encoding: chunked\r\n\r\n")
+		time.Sleep(probeTimeout)
+		chunk(conn, numbered(4, 6))
+		_, _ = io.WriteString(conn, "0\r\n\r\n")
+	}
+	ha := newHarness(t, answers, answers)
+	ha.preferInOrder()
+	target, _ := ha.Roster.View().Get("e1")
+	ha.Runs = &moverOnce{harness: ha, target: target}
+	var probes atomic.Int64
+	ha.Reachable = func(context.Context, string) bool {
+		if probes.Add(1) == stallProbes {
+			close(examined)
+			time.Sleep(probeTimeout / 2)
+		}
+		return probes.Load() > stallProbes
+	}
+	re := ha.longRequest()
+	re.Path, re.Target = "/long/", "/long/"
+	got, err := readEvents(ha.Serve(t.Context(), re))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(got).To(Equal(numbered(1, 6)))
+	g.Expect(ha.received()).To(Equal(2))
+}
--- a/internal/dispatch/resume.go
+++ b/internal/dispatch/resume.go
@@ -135,7 +135,6 @@
 	se.endpoint, se.answer, se.ticket = mv.Target, an, mv.Ticket
 	se.answerFrom = se.events
 	se.ticket.Answered()
-	se.stopStallWatch()
 	se.startStallWatch(mv.Target, an.Abort)
 	if se.run != nil {
 		se.run.SetStandby(se.standby.id())
--- a/internal/dispatch/stall.go
+++ b/internal/dispatch/stall.go
@@ -122,10 +122,12 @@
 	return sw.waiting, sw.arrivals
 }
 
+// stop ends the watch, and has an examination that is under way find no stall.
 func (sw *stallWatch) stop() {
 	sw.mu.Lock()
 	defer sw.mu.Unlock()
-	sw.stopped = true
+	sw.stopped, sw.waiting = true, false
+	sw.arrivals++
 	sw.timer.Stop()
 }
 
@@ -133,13 +135,15 @@
 // examines the engine again later, because a path can be cut and a connection go
 // silent in the middle of a pause, too.
 func (sw *stallWatch) examine() {
-	if waiting, _ := sw.state(); waiting && sw.isStalled() {
-		sw.abort()
-		return
-	}
+	waiting, _ := sw.state()
+	stalled := waiting && sw.isStalled()
 	sw.mu.Lock()
 	defer sw.mu.Unlock()
-	if !sw.stopped && sw.ctx.Err() == nil {
+	switch {
+	case sw.stopped || sw.ctx.Err() != nil:
+	case stalled:
+		sw.abort()
+	default:
 		sw.timer.Reset(stallTimeout)
 	}
 }
