dispatch: an engine's loss of a stream is counted once

After a call at a copy that the engine turned away, the engine that the run had left was examined again: one that had stopped the run by order was recorded as one that lost it, one that had lost it twice, and once more when the stream ended as broken.

The session keeps whether the loss is accounted for, until the run is at another engine.

TestEngineOfAMovedRunIsNotAccused: before, 1 failure of the version was recorded ("Expected <int64>: 1 to be zero-valued"); passes now.

--- a/internal/dispatch/copycall_test.go
+++ b/internal/dispatch/copycall_test.go
@@ -11,6 +11,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"filbertstall.example/filbertstall/internal/rollout"
 	"filbertstall.example/filbertstall/internal/roster"
 )
 
@@ -75,3 +76,40 @@
 	g.Expect(got).To(Equal(numbered(1, 6)))
 	g.Expect(ha.received()).To(Equal(2))
 }
+
+// Guards against a loss, counted against an engine's version, that is none: the engine had
+// stopped the run by order, and the engine of the copy turned it away.
+func TestEngineOfAMovedRunIsNotAccused(t *testing.T) {
+	g := NewWithT(t)
+	script := func(conn net.Conn, re *http.Request) {
+		if re.Header.Get("From") == "h1" {
+			busy(conn, re)
+			return
+		}
+		crashes(conn, re)
+	}
+	ha := newHarness(t, script, script)
+	ha.preferInOrder()
+	ha.suspecting()
+	ha.Reachable = func(context.Context, string) bool { return true }
+	ro := &recordingRollouts{}
+	ha.Rollouts = ro
+	target, _ := ha.Roster.View().Get("e1")
+	ha.Runs = &moverOnce{harness: ha, target: target}
+	got, err := readEvents(ha.Serve(t.Context(), ha.longRequest()))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(got).To(Equal(numbered(1, 6)))
+	g.Expect(ro.failed.Load()).To(BeZero())
+}
+
+// recordingRollouts counts the failures that are recorded.
+type recordingRollouts struct {
+	stoppable
+	failed atomic.Int64
+}
+
+func (rr *recordingRollouts) Record(_ roster.Endpoint, sa rollout.Sample) {
+	if sa.Failed {
+		rr.failed.Add(1)
+	}
+}
--- a/internal/dispatch/resume.go
+++ b/internal/dispatch/resume.go
@@ -50,6 +50,7 @@
 	se.unanswered = nil
 	if se.run != nil {
 		if mv, moved := se.run.Await(se.ctx); moved {
+			se.accounted = true
 			return mv, true
 		}
 	}
@@ -125,7 +126,7 @@
 		}
 		if ev == migration.Unanswered {
 			// What follows is asked of the engine that was called.
-			se.endpoint, se.unanswered = mv.Target, &mv
+			se.endpoint, se.unanswered, se.accounted = mv.Target, &mv, false
 		}
 		return err
 	}
@@ -133,7 +134,7 @@
 		Str("target", mv.Target.ID).Str("last_event", se.lastEvent).Msg("dispatch: stream resumed")
 	di.Meter.countAttempt("resumed")
 	se.endpoint, se.answer, se.ticket = mv.Target, an, mv.Ticket
-	se.answerFrom = se.events
+	se.answerFrom, se.accounted = se.events, false
 	se.ticket.Answered()
 	se.startStallWatch(mv.Target, an.Abort)
 	if se.run != nil {
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -119,6 +119,9 @@
 	// blamed are the features that a crash of the engine is held against, if the run goes on
 	// after one.
 	blamed []suspicion.Feature
+	// accounted is set once it is recorded that the engine lost the stream, or known that it
+	// stopped the run by order.
+	accounted bool
 	// moves is the number of attempts to resume the stream.
 	moves int
 	// unanswered is the move of the last call at a copy, if the call has no usable answer.
@@ -310,7 +313,9 @@
 		se.di.Log.Info().Str("event", "stream_broken").Str("request", se.ta.ID).Str("endpoint", se.endpoint.ID).
 			Int("events", se.events).Str("last_event", se.lastEvent).Int("moves", se.moves).AnErr("cause", cause).Msg("dispatch: stream interrupted and not resumed")
 		se.di.Meter.countAttempt("stream_broken")
-		se.di.reportCrash(se.ta, se.endpoint, se.crashFeatures()...)
+		if !se.accounted {
+			se.di.reportCrash(se.ta, se.endpoint, se.crashFeatures()...)
+		}
 		se.finish(placement.Lost, errStreamBroken)
 		return
 	}
--- a/internal/dispatch/suspect.go
+++ b/internal/dispatch/suspect.go
@@ -206,9 +206,10 @@
 // is known. It may go on once: then it shows whether it was the cause.
 func (se *session) mayTakeOver() bool {
 	di := se.di
-	if di.Suspects == nil || se.standby == nil {
+	if se.accounted || di.Suspects == nil || se.standby == nil {
 		return true
 	}
+	se.accounted = true
 	if se.proven {
 		di.reportCrash(se.ta, se.endpoint, se.ta.whole())
 		return di.Suspects.Judge(se.ta.whole()).Crashes < maxRunCrashes
