dispatch: a copy that is refused to its second call may be in use

A call without an answer is repeated if its engine says that it has no such run. The first call may still wait there and begin later, with the copy, which can be used once: the second is then turned away. That counted as proof that no engine works on the run, and it went on from the standby copy, at two engines.

A second call that is turned away proves nothing: the engine is asked again. The engine of a copy is called twice at most.

TestCopyThatWasUsedByALostCall: before, the engine was asked once ("asked after each of the calls, Expected <int>: 1 to equal <int>: 2"); passes now, known is Doubtful both times. platform: TestRunGoesOnAfterACallWithoutAnswer, TestAnswerWithoutAnEventIsNotComplete, TestRunIsStoppedBeforeItGoesOnElsewhere, TestUnframedStreamAfterLostOrderIsNotComplete pass (-race).

--- a/internal/dispatch/copycall_test.go
+++ b/internal/dispatch/copycall_test.go
@@ -11,6 +11,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"filbertstall.example/filbertstall/internal/migration"
 	"filbertstall.example/filbertstall/internal/rollout"
 	"filbertstall.example/filbertstall/internal/roster"
 )
@@ -113,3 +114,43 @@
 		rr.failed.Add(1)
 	}
 }
+
+// Guards against a run that works at two engines: a copy was called again, since its engine
+// had not begun the run yet, and turned the second call away because the first had used it.
+func TestCopyThatWasUsedByALostCall(t *testing.T) {
+	g := NewWithT(t)
+	var calls atomic.Int64
+	script := func(conn net.Conn, re *http.Request) {
+		switch {
+		case re.Header.Get("From") != "h1":
+			crashes(conn, re)
+		case calls.Add(1) == 1:
+			_ = conn.Close()
+		default:
+			busy(conn, re)
+		}
+	}
+	ha := newHarness(t, script, script)
+	ha.preferInOrder()
+	target, _ := ha.Roster.View().Get("e1")
+	mo := &askedMover{moverOnce: moverOnce{harness: ha, target: target}}
+	ha.Runs = mo
+	_, err := readEvents(ha.Serve(t.Context(), ha.longRequest()))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(calls.Load()).To(BeNumerically("==", 2))
+	g.Expect(mo.asked).To(Equal(2), "asked after each of the calls")
+	g.Expect(mo.known).To(HaveEach(migration.Doubtful))
+}
+
+// askedMover records that the engine of a broken stream was asked for its run.
+type askedMover struct {
+	moverOnce
+	asked int
+	known []migration.Knowledge
+}
+
+func (am *askedMover) Settle(_ context.Context, ru *migration.Run, _ string) migration.Fate {
+	am.asked++
+	am.known = append(am.known, ru.Known())
+	return migration.Gone
+}
--- a/internal/dispatch/resume.go
+++ b/internal/dispatch/resume.go
@@ -47,7 +47,7 @@
 // was found to be.
 func (se *session) nextTarget(unreachable bool) (migration.Moved, bool) {
 	unanswered := se.unanswered
-	se.unanswered = nil
+	se.unanswered, se.calledAgain = nil, false
 	if se.run != nil {
 		if mv, moved := se.run.Await(se.ctx); moved {
 			se.accounted = true
@@ -72,6 +72,7 @@
 		}
 	}
 	mv, found := se.callAgain(unanswered)
+	se.calledAgain = found
 	if !found {
 		mv, found = se.takeOver()
 	}
@@ -113,6 +114,11 @@
 	di, kept := se.di, se.standby
 	kept.release()
 	an, mv, ev, err := se.callCopy(mv)
+	used := se.calledAgain && errors.Is(err, errNotResumed)
+	if used {
+		// A copy is used once: the call before may have begun the run since.
+		ev = migration.Unanswered
+	}
 	if se.run != nil {
 		se.run.RecordCall(ev)
 	}
@@ -126,7 +132,10 @@
 		}
 		if ev == migration.Unanswered {
 			// What follows is asked of the engine that was called.
-			se.endpoint, se.unanswered, se.accounted = mv.Target, &mv, false
+			se.endpoint, se.accounted = mv.Target, used
+			if !se.calledAgain {
+				se.unanswered = &mv
+			}
 		}
 		return err
 	}
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -126,6 +126,9 @@
 	moves int
 	// unanswered is the move of the last call at a copy, if the call has no usable answer.
 	unanswered *migration.Moved
+	// calledAgain is set if the engine of the present call was called before, with the same
+	// copy and without an answer.
+	calledAgain bool
 	// stall is nil if the stream is not watched for stalls.
 	stall *stallWatch
 }
