dispatch: an engine that cannot be reached is not called again

A call at a copy that was given up, since its engine could not be reached, was repeated there: the stall watch needs another 1.6 s to give that one up, and callers leave a stream that pauses for 2 s, though another engine had the standby copy.

The run goes on from the standby copy at once, as before these calls were repeated.

TestUnreachableCopyIsNotCalledAgain: before, the stream ended as broken at its timeout after 4.8 s ("stream interrupted and cannot be resumed"); passes now, in 1.6 s.

--- a/internal/dispatch/copycall_test.go
+++ b/internal/dispatch/copycall_test.go
@@ -154,3 +154,27 @@
 	am.known = append(am.known, ru.Known())
 	return migration.Gone
 }
+
+// Guards against a second call at an engine that cannot be reached, while another one has a
+// copy.
+func TestUnreachableCopyIsNotCalledAgain(t *testing.T) {
+	g := NewWithT(t)
+	script := func(conn net.Conn, re *http.Request) {
+		if re.Header.Get("From") == "h1" {
+			hangs(conn, re)
+			return
+		}
+		crashes(conn, re)
+	}
+	ha := newHarness(t, script, script)
+	ha.preferInOrder()
+	target, _ := ha.Roster.View().Get("e1")
+	ha.Runs = &moverOnce{harness: ha, target: target}
+	ha.Reachable = func(context.Context, string) bool { return false }
+	re := ha.longRequest()
+	re.Path, re.Target = "/long/", "/long/"
+	got, err := readEvents(ha.Serve(t.Context(), re))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(got).To(Equal(numbered(1, 6)))
+	g.Expect(ha.received()).To(Equal(3))
+}
--- a/internal/dispatch/resume.go
+++ b/internal/dispatch/resume.go
@@ -71,8 +71,12 @@
 			return mv, moved
 		}
 	}
-	mv, found := se.callAgain(unanswered)
-	se.calledAgain = found
+	var mv migration.Moved
+	var found bool
+	if !unreachable {
+		mv, found = se.callAgain(unanswered)
+		se.calledAgain = found
+	}
 	if !found {
 		mv, found = se.takeOver()
 	}
