dispatch: further calls at copies take from the budget of repeats

A stream that broke off was followed by one call at a copy, whatever the budget of repeats was; since calls without a stream are repeated, by up to three, so that the arrivals beyond the budget could treble when an engine with many streams fails and the engines of the copies turn them away. A call that its permit did not allow counted, too, though nothing was sent: up to three times for one call.

The first call is sent as before; the others only if the budget has one left. A call is counted once, whatever the number of its permits is.

TestFurtherCallsAtCopiesTakeFromTheBudget: before, the second call was sent with a budget of one ("Expected <bool>: true to equal <bool>: false"); passes now.

--- a/internal/dispatch/copycall.go
+++ b/internal/dispatch/copycall.go
@@ -65,10 +65,13 @@
 			pe.Release()
 			continue
 		}
+		if !se.takeRetry() {
+			pe.Release()
+			return nil, mv, migration.NotBegun, errNoBudget
+		}
 		ctx, cancel := context.WithCancel(se.ctx)
 		se.startStallWatch(mv.Target, cancel)
 		se.stall.awaitData()
-		di.Budget.Force(se.ta.service.Name)
 		di.recordSent(mv.Target)
 		an, err := di.Gate.Do(ctx, pe, di.Codec.Call(se.ta.Request, se.resumedAttempt(mv)))
 		if err == nil {
@@ -89,6 +92,20 @@
 	return nil, mv, migration.NotBegun, refused
 }
 
+// takeRetry takes a call at a copy from the budget of repeats, once for all its permits. The
+// first call after a stream broke off is sent whatever the budget is.
+func (se *session) takeRetry() bool {
+	switch {
+	case se.budgeted:
+	case se.failedCalls > 0:
+		se.budgeted = se.di.Budget.Take(se.ta.service.Name)
+	default:
+		se.di.Budget.Force(se.ta.service.Name)
+		se.budgeted = true
+	}
+	return se.budgeted
+}
+
 // eventOfError returns what an error of a call at a copy proves.
 func eventOfError(err error) migration.Event {
 	if upstream.KindOf(err) == upstream.NotSent {
--- a/internal/dispatch/copycall_test.go
+++ b/internal/dispatch/copycall_test.go
@@ -135,6 +135,7 @@
 	target, _ := ha.Roster.View().Get("e1")
 	mo := &askedMover{moverOnce: moverOnce{harness: ha, target: target}}
 	ha.Runs = mo
+	ha.Budget.Extra = func() float64 { return 3 }
 	_, err := readEvents(ha.Serve(t.Context(), ha.longRequest()))
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(calls.Load()).To(BeNumerically("==", 2))
@@ -178,3 +179,27 @@
 	g.Expect(got).To(Equal(numbered(1, 6)))
 	g.Expect(ha.received()).To(Equal(3))
 }
+
+// Guards against more calls at copies, after one interruption, than the budget of repeats
+// allows.
+func TestFurtherCallsAtCopiesTakeFromTheBudget(t *testing.T) {
+	for extra, received := range map[float64]int{1: 2, 2: 3} {
+		g := NewWithT(t)
+		script := func(conn net.Conn, re *http.Request) {
+			if re.Header.Get("From") == "h1" {
+				busy(conn, re)
+				return
+			}
+			crashes(conn, re)
+		}
+		ha := newHarness(t, script, script)
+		ha.preferInOrder()
+		ha.Budget.Extra = func() float64 { return extra }
+		ha.Budget.Ratio = 0
+		target, _ := ha.Roster.View().Get("e1")
+		ha.Runs = &moverOnce{harness: ha, target: target}
+		_, err := readEvents(ha.Serve(t.Context(), ha.longRequest()))
+		g.Expect(err == nil).To(Equal(received == 3))
+		g.Expect(ha.received()).To(Equal(received))
+	}
+}
--- a/internal/dispatch/resume.go
+++ b/internal/dispatch/resume.go
@@ -22,7 +22,7 @@
 	se.answer.Close()
 	se.pending = se.pending[:se.completeBytes]
 	se.scannedBytes = se.completeBytes
-	for failed := 0; failed < maxFailedCalls && se.ctx.Err() == nil && se.moves < maxMoves; failed++ {
+	for se.failedCalls = 0; se.failedCalls < maxFailedCalls && se.ctx.Err() == nil && se.moves < maxMoves; se.failedCalls++ {
 		unreachable := se.stall.foundUnreachable()
 		se.stopStallWatch()
 		mv, found := se.nextTarget(unreachable)
@@ -117,6 +117,7 @@
 func (se *session) resume(mv migration.Moved) error {
 	di, kept := se.di, se.standby
 	kept.release()
+	se.budgeted = false
 	an, mv, ev, err := se.callCopy(mv)
 	used := se.calledAgain && errors.Is(err, errNotResumed)
 	if used {
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -43,6 +43,9 @@
 // errNotResumed means that an engine answered that a run does not go on there.
 var errNotResumed = errors.New("dispatch: the engine did not resume the run")
 
+// errNoBudget means that no further call at a copy is within the budget of repeats.
+var errNoBudget = errors.New("dispatch: the budget of repeats allows no further call at a copy")
+
 // errStreamBroken is the read error of an incomplete stream.
 var errStreamBroken = errors.New("dispatch: stream interrupted and cannot be resumed")
 
@@ -122,6 +125,10 @@
 	// accounted is set once it is recorded that the engine lost the stream, or known that it
 	// stopped the run by order.
 	accounted bool
+	// failedCalls is the number of calls at copies since the stream broke off. budgeted is set
+	// once the present one is taken from the budget of repeats.
+	failedCalls int
+	budgeted    bool
 	// moves is the number of attempts to resume the stream.
 	moves int
 	// unanswered is the move of the last call at a copy, if the call has no usable answer.
