dispatch: a run that goes on is proven at its new engine only

A run counts as harmless once it made events 0.5 s after the head of its answer. After it had gone on elsewhere, the time at the engine before counted: a run that crashed its engine after 0.5 s was taken for harmless with its first event at the next, which cleared the parts of its prompt everywhere, and it went on from copy to copy.

The time begins with the answer of the present engine.

TestRunIsProvenAtOneEngine: before, 17 requests were sent ("Expected <int>: 17 to equal <int>: 2"); passes now.

--- a/internal/dispatch/resume.go
+++ b/internal/dispatch/resume.go
@@ -148,7 +148,7 @@
 		Str("target", mv.Target.ID).Str("last_event", se.lastEvent).Msg("dispatch: stream resumed")
 	di.Meter.countAttempt("resumed")
 	se.endpoint, se.answer, se.ticket = mv.Target, an, mv.Ticket
-	se.answerFrom, se.accounted = se.events, false
+	se.answerFrom, se.accounted, se.beganAt = se.events, false, di.Clock.Now()
 	se.ticket.Answered()
 	se.startStallWatch(mv.Target, an.Abort)
 	if se.run != nil {
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -114,7 +114,7 @@
 	endErr     error
 	// lastEventAt is when the last complete event was received.
 	lastEventAt time.Time
-	// sentAt is when the request was sent, beganAt when the head of the answer arrived.
+	// sentAt is when the request was sent, beganAt when the head of the present answer arrived.
 	sentAt, beganAt time.Time
 	// proven is set once the run has gone on for long enough to show that the parts of
 	// its prompt are harmless.
--- a/internal/dispatch/suspect_test.go
+++ b/internal/dispatch/suspect_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"net"
+	"net/http"
 	"strconv"
 	"testing"
 	"time"
@@ -68,6 +70,32 @@
 	g.Expect(ha.received()).To(Equal(1), "another request with the part had crashed an engine before")
 }
 
+// Guards against a run that crashes one engine after the other, since it counted as proven with
+// its first event at the second: the time at the first one counted.
+func TestRunIsProvenAtOneEngine(t *testing.T) {
+	g := NewWithT(t)
+	script := func(conn net.Conn, re *http.Request) {
+		if re.Header.Get("From") != "" {
+			events(1, 1, false)(conn, re)
+			return
+		}
+		events(1, 0, false)(lateClose{conn}, re)
+	}
+	ha := newHarness(t, script, script, script, script)
+	ha.suspecting()
+	_, err := readEvents(ha.Serve(t.Context(), ha.withPart("bad")))
+	g.Expect(err).To(HaveOccurred())
+	g.Expect(ha.received()).To(Equal(2), "it goes on once, since it may be sound")
+}
+
+// lateClose is a connection of an engine that crashes after a while.
+type lateClose struct{ net.Conn }
+
+func (lc lateClose) Close() error {
+	time.Sleep(provenAfter)
+	return lc.Conn.Close()
+}
+
 // A run that had made events for a while does not count as the cause of a crash of its
 // engine by a part of its prompt.
 func TestProvenRunsClearTheirParts(t *testing.T) {
