dispatch: no second call at an engine whose version was stopped

A run may go on where it was stopped, whatever the version is. After a call without an answer, the engine that was called was taken for that one: it was called again though its version had been stopped while the run waited there.

TestVersionIsStoppedBeforeTheSecondCall: before, a second call was sent ("Expected <int>: 2 to equal <int>: 1"); passes now.

--- a/internal/dispatch/copycall_test.go
+++ b/internal/dispatch/copycall_test.go
@@ -203,3 +203,29 @@
 		g.Expect(ha.received()).To(Equal(received))
 	}
 }
+
+// Guards against a run that goes on at an engine whose version was stopped, since that engine
+// had been called before, without an answer, and was taken for the one where the run was.
+func TestVersionIsStoppedBeforeTheSecondCall(t *testing.T) {
+	g := NewWithT(t)
+	script := func(conn net.Conn, re *http.Request) {
+		if re.Header.Get("From") == "h1" {
+			_ = conn.Close()
+			return
+		}
+		crashes(conn, re)
+	}
+	ha := newHarness(t, script, script)
+	ha.preferInOrder()
+	target, _ := ha.Roster.View().Get("e1")
+	ha.Runs = &moverOnce{harness: ha, target: target}
+	rp := ha.Serve(t.Context(), ha.longRequest())
+	turns := 0
+	ha.Gate.Limiter = changedLimiter{ha.limit(map[string]time.Duration{"e0": 0, "e1": 0}), func(en roster.Endpoint) {
+		if turns++; turns == 2 {
+			ha.Rollouts = &stoppedAt{endpoint: en.ID}
+		}
+	}}
+	_, _ = readEvents(rp)
+	g.Expect(ha.replicas[1].requestCount()).To(Equal(1))
+}
--- a/internal/dispatch/rollout.go
+++ b/internal/dispatch/rollout.go
@@ -108,7 +108,7 @@
 }
 
 // mayGoOnAt reports whether the run may go on at an engine. At the engine where it was
-// stopped, it may whatever the version is.
+// stopped, it may whatever the version is; one that was called without an answer is not that.
 func (se *session) mayGoOnAt(en roster.Endpoint) bool {
-	return en.ID == se.endpoint.ID || len(se.di.allows([]roster.Endpoint{en})) > 0
+	return en.ID == se.endpoint.ID && !se.calledAgain || len(se.di.allows([]roster.Endpoint{en})) > 0
 }
