dispatch: the test of an unreachable copy has a standby copy elsewhere

With two engines, the standby copy was at the engine that could not be reached. With three, and without the change, the stream ends as broken ("stream interrupted and cannot be resumed"); with it, each of the two copies is called once.

--- a/internal/dispatch/copycall_test.go
+++ b/internal/dispatch/copycall_test.go
@@ -12,6 +12,7 @@
 	. "github.com/onsi/gomega"
 
 	"filbertstall.example/filbertstall/internal/migration"
+	"filbertstall.example/filbertstall/internal/placement"
 	"filbertstall.example/filbertstall/internal/rollout"
 	"filbertstall.example/filbertstall/internal/roster"
 )
@@ -167,9 +168,10 @@
 		}
 		crashes(conn, re)
 	}
-	ha := newHarness(t, script, script)
+	ha := newHarness(t, script, script, script)
 	ha.preferInOrder()
-	target, _ := ha.Roster.View().Get("e1")
+	target, _ := ha.Roster.View().Get("e2")
+	ha.Tracker.Begin(target, placement.Demand{Engine: ha.engine(), Prompt: 6000}) // no standby copy there
 	ha.Runs = &moverOnce{harness: ha, target: target}
 	ha.Reachable = func(context.Context, string) bool { return false }
 	re := ha.longRequest()
@@ -177,7 +179,8 @@
 	got, err := readEvents(ha.Serve(t.Context(), re))
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(got).To(Equal(numbered(1, 6)))
-	g.Expect(ha.received()).To(Equal(3))
+	g.Expect(ha.replicas[1].requestCount()).To(Equal(1), "the standby copy")
+	g.Expect(ha.replicas[2].requestCount()).To(Equal(1))
 }
 
 // Guards against more calls at copies, after one interruption, than the budget of repeats
