--- a/internal/dispatch/resume.go
+++ b/internal/dispatch/resume.go
@@ -71,21 +71,26 @@
 			return mv, moved
 		}
 	}
-	var mv migration.Moved
-	var found bool
-	if !unreachable {
-		mv, found = se.callAgain(unanswered)
-		se.calledAgain = found
-	}
-	if !found {
-		mv, found = se.takeOver()
+	if unreachable {
+		unanswered = nil
 	}
+	mv, found := se.chooseCopy(unanswered)
 	if found && se.run != nil {
 		se.run.TakeOver(mv.Target)
 	}
 	return mv, found
 }
 
+// chooseCopy returns the move by which an interrupted run goes on whose engine does not work
+// on it.
+func (se *session) chooseCopy(unanswered *migration.Moved) (migration.Moved, bool) {
+	if mv, found := se.callAgain(unanswered); found {
+		se.calledAgain = true
+		return mv, true
+	}
+	return se.takeOver()
+}
+
 // callAgain returns the move of a call without an answer, if the engine of its copy may
 // still have the copy: the engine does not work on the run, so it may never have got the call.
 func (se *session) callAgain(mv *migration.Moved) (migration.Moved, bool) {
