dispatch: a report that failed does not prove that a run is gone

The engine of a service with standby copies and without moves is asked for its report when a stream breaks off. Any error counted as an absent run: also a probe that is not sent while the engine wants a pause, and a report that came late or was refused. The run then went on from its standby copy while its engine worked on it.

Only a report without the run (migration.ErrNoRun), or an engine that cannot be reached, lets it go on. Otherwise the stream ends as broken.

TestReportThatFailsProvesNothing/the_engine_wants_a_pause: before, the run went on (6 events instead of 3); passes now.

--- a/internal/dispatch/standby.go
+++ b/internal/dispatch/standby.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"filbertstall.example/filbertstall/internal/migration"
@@ -81,7 +82,9 @@
 		pause.For(se.ctx, di.Clock, reportAge)
 		ctx, cancel := context.WithTimeout(se.ctx, probeTimeout)
 		defer cancel()
-		if _, err := di.Progress(ctx, se.endpoint, se.ta.ID); err == nil {
+		_, err := di.Progress(ctx, se.endpoint, se.ta.ID)
+		// A report that failed, as while the engine wants a pause, does not tell.
+		if err == nil || !errors.Is(err, migration.ErrNoRun) && di.Reachable != nil && se.reachesEngine() {
 			return migration.Unknown
 		}
 	}
--- a/internal/dispatch/standby_test.go
+++ b/internal/dispatch/standby_test.go
@@ -119,6 +119,30 @@
 	g.Expect(found).To(BeFalse(), "a copy is used only once")
 }
 
+// Guards against a run that works at two engines: a report that failed, as while its engine
+// wants a pause, was taken for one without the run.
+func TestReportThatFailsProvesNothing(t *testing.T) {
+	for _, ca := range []struct {
+		name      string
+		err       error
+		reachable bool
+		want      string
+	}{
+		{"the engine has no such run", migration.ErrNoRun, true, numbered(1, 6)},
+		{"the engine wants a pause", errors.New("paused"), true, numbered(1, 3)},
+		{"the engine cannot be reached", errors.New("refused"), false, numbered(1, 6)},
+	} {
+		t.Run(ca.name, func(t *testing.T) {
+			g := NewWithT(t)
+			ha := newHarness(t, crashes, crashes)
+			ha.Progress = func(context.Context, roster.Endpoint, string) (int, error) { return 0, ca.err }
+			ha.Reachable = func(context.Context, string) bool { return ca.reachable }
+			got, _ := readEvents(ha.Serve(t.Context(), ha.longRequest()))
+			g.Expect(got).To(Equal(ca.want))
+		})
+	}
+}
+
 // threeEvents streams three events and leaves the stream open.
 func threeEvents(conn net.Conn, re *http.Request) {
 	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nProof: p\r\nTransfer-Encoding: chunked\r\n\r\n", re.Header.Get("Id"))
