dispatch: an engine that turns a run away has not lost it

An engine that answered that it does not take a run which was to go on there counted as one that lost it, with twice the weight of a refusal, and for the outliers.

TestEngineThatTurnsARunAwayHasNotLostIt: before, its outcomes were "e0 0", "e0 3", "e1 3"; passes now with Refused for e1.

--- a/internal/dispatch/copycall.go
+++ b/internal/dispatch/copycall.go
@@ -30,7 +30,10 @@
 	switch {
 	case an.Status == http.StatusOK && ve.Genuine:
 		return an, mv, migration.Begun, nil
-	case ve.NotRun, ve.Misdirected, ve.Genuine:
+	case ve.NotRun, ve.Misdirected:
+		an.Close()
+		return nil, mv, migration.NotBegun, errTurnedAway
+	case ve.Genuine:
 		an.Close()
 		return nil, mv, migration.NotBegun, errNotResumed
 	default:
@@ -158,6 +161,8 @@
 func (se *session) outcomeOfCall(err error) placement.Outcome {
 	var er *upstream.Error
 	switch {
+	case errors.Is(err, errTurnedAway):
+		return placement.Refused
 	case errors.Is(err, errNotResumed), errors.Is(err, errNotGenuine):
 		return placement.Lost
 	case !errors.As(err, &er), er.Kind == upstream.Canceled && se.ctx.Err() != nil:
--- a/internal/dispatch/outlier_test.go
+++ b/internal/dispatch/outlier_test.go
@@ -123,3 +123,23 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(oc.list).To(HaveEach("e0 " + strconv.Itoa(int(placement.Done))))
 }
+
+// Guards against a loss of an engine that turned a run away which was to go on there.
+func TestEngineThatTurnsARunAwayHasNotLostIt(t *testing.T) {
+	g := NewWithT(t)
+	script := func(conn net.Conn, re *http.Request) {
+		if re.Header.Get("From") != "" {
+			busy(conn, re)
+			return
+		}
+		crashes(conn, re)
+	}
+	ha := newHarness(t, script, script)
+	ha.preferInOrder()
+	var oc outcomes
+	ha.Tracker.Outliers = &oc
+	_, err := readEvents(ha.Serve(t.Context(), ha.longRequest()))
+	g.Expect(err).To(HaveOccurred())
+	g.Expect(oc.list).To(ContainElement("e1 " + strconv.Itoa(int(placement.Refused))))
+	g.Expect(oc.list).NotTo(ContainElement("e1 " + strconv.Itoa(int(placement.Lost))))
+}
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"time"
@@ -43,6 +44,9 @@
 // errNotResumed means that an engine answered that a run does not go on there.
 var errNotResumed = errors.New("dispatch: the engine did not resume the run")
 
+// errTurnedAway means that the engine did not take the call.
+var errTurnedAway = fmt.Errorf("%w: it turned the call away", errNotResumed)
+
 // errNoBudget means that no further call at a copy is within the budget of repeats.
 var errNoBudget = errors.New("dispatch: the budget of repeats allows no further call at a copy")
 
