--- a/internal/dispatch/copycall.go
+++ b/internal/dispatch/copycall.go
@@ -30,7 +30,10 @@
 	switch {
 	case an.Status == http.StatusOK && ve.Genuine:
 		return an, mv, migration.Begun, nil
-	case ve.NotRun, ve.Misdirected, ve.Genuine:
+	case ve.NotRun, ve.Misdirected:
+		an.Close()
+		return nil, mv, migration.NotBegun, errTurnedAway
+	case ve.Genuine:
 		an.Close()
 		return nil, mv, migration.NotBegun, errNotResumed
 	default:
@@ -65,12 +68,19 @@
 			pe.Release()
 			continue
 		}
+		if !se.takeRetry() {
+			pe.Release()
+			return nil, mv, migration.NotBegun, errNoBudget
+		}
 		ctx, cancel := context.WithCancel(se.ctx)
 		se.startStallWatch(mv.Target, cancel)
 		se.stall.awaitData()
-		di.Budget.Force(se.ta.service.Name)
 		di.recordSent(mv.Target)
 		an, err := di.Gate.Do(ctx, pe, di.Codec.Call(se.ta.Request, se.resumedAttempt(mv)))
+		if err == nil {
+			// The context is that of the answer from now on.
+			se.stopStallWatch()
+		}
 		if !backpressure.IsRefused(err) {
 			mv.Ticket.OnEnd(pe.Release)
 			se.ta.turn = suspicion.Feature{}
@@ -85,6 +95,20 @@
 	return nil, mv, migration.NotBegun, refused
 }
 
+// takeRetry takes a call at a copy from the budget of repeats, once for all its permits. The
+// first call after a stream broke off is sent whatever the budget is.
+func (se *session) takeRetry() bool {
+	switch {
+	case se.budgeted:
+	case se.failedCalls > 0:
+		se.budgeted = se.di.Budget.Take(se.ta.service.Name)
+	default:
+		se.di.Budget.Force(se.ta.service.Name)
+		se.budgeted = true
+	}
+	return se.budgeted
+}
+
 // eventOfError returns what an error of a call at a copy proves.
 func eventOfError(err error) migration.Event {
 	if upstream.KindOf(err) == upstream.NotSent {
@@ -137,6 +161,8 @@
 func (se *session) outcomeOfCall(err error) placement.Outcome {
 	var er *upstream.Error
 	switch {
+	case errors.Is(err, errTurnedAway):
+		return placement.Refused
 	case errors.Is(err, errNotResumed), errors.Is(err, errNotGenuine):
 		return placement.Lost
 	case !errors.As(err, &er), er.Kind == upstream.Canceled && se.ctx.Err() != nil:
--- a/internal/dispatch/resume.go
+++ b/internal/dispatch/resume.go
@@ -22,7 +22,7 @@
 	se.answer.Close()
 	se.pending = se.pending[:se.completeBytes]
 	se.scannedBytes = se.completeBytes
-	for failed := 0; failed < maxFailedCalls && se.ctx.Err() == nil && se.moves < maxMoves; failed++ {
+	for se.failedCalls = 0; se.failedCalls < maxFailedCalls && se.ctx.Err() == nil && se.moves < maxMoves; se.failedCalls++ {
 		unreachable := se.stall.foundUnreachable()
 		se.stopStallWatch()
 		mv, found := se.nextTarget(unreachable)
@@ -47,9 +47,10 @@
 // was found to be.
 func (se *session) nextTarget(unreachable bool) (migration.Moved, bool) {
 	unanswered := se.unanswered
-	se.unanswered = nil
+	se.unanswered, se.calledAgain = nil, false
 	if se.run != nil {
 		if mv, moved := se.run.Await(se.ctx); moved {
+			se.accounted = true
 			return mv, true
 		}
 	}
@@ -70,16 +71,26 @@
 			return mv, moved
 		}
 	}
-	mv, found := se.callAgain(unanswered)
-	if !found {
-		mv, found = se.takeOver()
+	if unreachable {
+		unanswered = nil
 	}
+	mv, found := se.chooseCopy(unanswered)
 	if found && se.run != nil {
 		se.run.TakeOver(mv.Target)
 	}
 	return mv, found
 }
 
+// chooseCopy returns the move by which an interrupted run goes on whose engine does not work
+// on it.
+func (se *session) chooseCopy(unanswered *migration.Moved) (migration.Moved, bool) {
+	if mv, found := se.callAgain(unanswered); found {
+		se.calledAgain = true
+		return mv, true
+	}
+	return se.takeOver()
+}
+
 // callAgain returns the move of a call without an answer, if the engine of its copy may
 // still have the copy: the engine does not work on the run, so it may never have got the call.
 func (se *session) callAgain(mv *migration.Moved) (migration.Moved, bool) {
@@ -111,7 +122,13 @@
 func (se *session) resume(mv migration.Moved) error {
 	di, kept := se.di, se.standby
 	kept.release()
+	se.budgeted = false
 	an, mv, ev, err := se.callCopy(mv)
+	used := se.calledAgain && errors.Is(err, errNotResumed)
+	if used {
+		// A copy is used once: the call before may have begun the run since.
+		ev = migration.Unanswered
+	}
 	if se.run != nil {
 		se.run.RecordCall(ev)
 	}
@@ -125,7 +142,10 @@
 		}
 		if ev == migration.Unanswered {
 			// What follows is asked of the engine that was called.
-			se.endpoint, se.unanswered = mv.Target, &mv
+			se.endpoint, se.accounted = mv.Target, used
+			if !se.calledAgain {
+				se.unanswered = &mv
+			}
 		}
 		return err
 	}
@@ -133,9 +153,8 @@
 		Str("target", mv.Target.ID).Str("last_event", se.lastEvent).Msg("dispatch: stream resumed")
 	di.Meter.countAttempt("resumed")
 	se.endpoint, se.answer, se.ticket = mv.Target, an, mv.Ticket
-	se.answerFrom = se.events
+	se.answerFrom, se.accounted, se.beganAt = se.events, false, di.Clock.Now()
 	se.ticket.Answered()
-	se.stopStallWatch()
 	se.startStallWatch(mv.Target, an.Abort)
 	if se.run != nil {
 		se.run.SetStandby(se.standby.id())
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"time"
@@ -43,6 +44,12 @@
 // errNotResumed means that an engine answered that a run does not go on there.
 var errNotResumed = errors.New("dispatch: the engine did not resume the run")
 
+// errTurnedAway means that the engine did not take the call.
+var errTurnedAway = fmt.Errorf("%w: it turned the call away", errNotResumed)
+
+// errNoBudget means that no further call at a copy is within the budget of repeats.
+var errNoBudget = errors.New("dispatch: the budget of repeats allows no further call at a copy")
+
 // errStreamBroken is the read error of an incomplete stream.
 var errStreamBroken = errors.New("dispatch: stream interrupted and cannot be resumed")
 
@@ -111,7 +118,7 @@
 	endErr     error
 	// lastEventAt is when the last complete event was received.
 	lastEventAt time.Time
-	// sentAt is when the request was sent, beganAt when the head of the answer arrived.
+	// sentAt is when the request was sent, beganAt when the head of the present answer arrived.
 	sentAt, beganAt time.Time
 	// proven is set once the run has gone on for long enough to show that the parts of
 	// its prompt are harmless.
@@ -119,10 +126,20 @@
 	// blamed are the features that a crash of the engine is held against, if the run goes on
 	// after one.
 	blamed []suspicion.Feature
+	// accounted is set once it is recorded that the engine lost the stream, or known that it
+	// stopped the run by order.
+	accounted bool
+	// failedCalls is the number of calls at copies since the stream broke off. budgeted is set
+	// once the present one is taken from the budget of repeats.
+	failedCalls int
+	budgeted    bool
 	// moves is the number of attempts to resume the stream.
 	moves int
 	// unanswered is the move of the last call at a copy, if the call has no usable answer.
 	unanswered *migration.Moved
+	// calledAgain is set if the engine of the present call was called before, with the same
+	// copy and without an answer.
+	calledAgain bool
 	// stall is nil if the stream is not watched for stalls.
 	stall *stallWatch
 }
@@ -310,7 +327,9 @@
 		se.di.Log.Info().Str("event", "stream_broken").Str("request", se.ta.ID).Str("endpoint", se.endpoint.ID).
 			Int("events", se.events).Str("last_event", se.lastEvent).Int("moves", se.moves).AnErr("cause", cause).Msg("dispatch: stream interrupted and not resumed")
 		se.di.Meter.countAttempt("stream_broken")
-		se.di.reportCrash(se.ta, se.endpoint, se.crashFeatures()...)
+		if !se.accounted {
+			se.di.reportCrash(se.ta, se.endpoint, se.crashFeatures()...)
+		}
 		se.finish(placement.Lost, errStreamBroken)
 		return
 	}
