--- a/internal/concurrency/allocator.go
+++ b/internal/concurrency/allocator.go
@@ -137,7 +137,7 @@
 func (al *Allocator) Take(ar TakeArgs) TakeReply {
 	vi := al.Peers.View(ar.Endpoint, ar.Zone)
 	if vi.Allocator == nil || vi.Allocator.Name != al.Peers.Self.Name || !vi.Settled && !vi.Starting {
-		// After a pause, a call may have waited for so long that nobody would use the slot.
+		// After a pause, a call may have waited for so long that the slot would not be used.
 		return TakeReply{}
 	}
 	slots := ar.Slots * vi.Alive / max(vi.Total, 1)
--- a/internal/concurrency/killed_test.go
+++ b/internal/concurrency/killed_test.go
@@ -19,7 +19,7 @@
 }
 
 // knowRunning lets the instances know of each other's requests from now on, as
-// placement.LoadTracker does: what the others had in progress when they last told it.
+// placement.LoadTracker does: what the others had in progress when they last reported it.
 func (lo *load) knowRunning() {
 	lo.told = make(map[*Limiter]int)
 	for _, li := range lo.fl.limiters {
@@ -37,7 +37,7 @@
 	}
 }
 
-// tell makes all instances that run tell what they have in progress.
+// tell makes all instances that run report what they have in progress.
 func (lo *load) tell() {
 	lo.mu.Lock()
 	defer lo.mu.Unlock()
--- a/internal/concurrency/restart_load_test.go
+++ b/internal/concurrency/restart_load_test.go
@@ -13,7 +13,7 @@
 	. "github.com/onsi/gomega"
 )
 
-// brittleEndpoint turns away requests for which it has no room.
+// brittleEndpoint rejects requests for which it has no room.
 type brittleEndpoint struct {
 	mu              sync.Mutex
 	running, served int
@@ -40,7 +40,7 @@
 	return false
 }
 
-// mostTurnedAway returns the largest number of requests that were turned away in a second.
+// mostTurnedAway returns the largest number of requests that were rejected in a second.
 func (be *brittleEndpoint) mostTurnedAway() (most int) {
 	for ix, at := range be.turnedAway {
 		count := 0
@@ -62,7 +62,7 @@
 	stopped map[*Limiter]context.Context
 	// halted is the instance that does not run any more.
 	halted atomic.Pointer[Limiter]
-	// told has what each instance has last told of its requests in progress. It is nil if
+	// told has what each instance has last reported of its requests in progress. It is nil if
 	// they tell nothing.
 	mu   sync.Mutex
 	told map[*Limiter]int
@@ -115,7 +115,7 @@
 	}
 }
 
-// tick does what the janitors of all instances that run do at one time.
+// tick does the periodic work of all instances that run at one time.
 func (lo *load) tick() {
 	for _, li := range lo.fl.limiters {
 		if li != lo.halted.Load() {
--- a/internal/concurrency/restart_test.go
+++ b/internal/concurrency/restart_test.go
@@ -22,7 +22,7 @@
 	return li
 }
 
-// serve lets time pass in which all instances report, as their janitors do.
+// serve lets time pass in which all instances report, as they do periodically.
 func (fl *fleet) serve(span time.Duration) {
 	const interval = 200 * time.Millisecond
 	for passed := interval; passed <= span; passed += interval {
@@ -34,7 +34,7 @@
 	}
 }
 
-// tick does what the janitors of all instances do at one time.
+// tick does the periodic work of all instances at one time.
 func (fl *fleet) tick() {
 	for _, li := range fl.limiters {
 		li.Peers.Check()
@@ -59,7 +59,7 @@
 }
 
 // Guards against an allocator that starts again within seconds and gives out slots that
-// are in use: instances without new requests never told it of their long ones.
+// are in use: instances without new requests never reported their long ones to it.
 func TestRestartedAllocatorLearnsWhatIsInProgress(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
--- a/internal/dispatch/copycall_test.go
+++ b/internal/dispatch/copycall_test.go
@@ -80,7 +80,7 @@
 }
 
 // Guards against a loss, counted against an engine's version, that is none: the engine had
-// stopped the run by order, and the engine of the copy turned it away.
+// stopped the run by order, and the engine of the copy rejected it.
 func TestEngineOfAMovedRunIsNotAccused(t *testing.T) {
 	g := NewWithT(t)
 	script := func(conn net.Conn, re *http.Request) {
@@ -117,7 +117,7 @@
 }
 
 // Guards against a run that works at two engines: a copy was called again, since its engine
-// had not begun the run yet, and turned the second call away because the first had used it.
+// had not begun the run yet, and rejected the second call because the first had used it.
 func TestCopyThatWasUsedByALostCall(t *testing.T) {
 	g := NewWithT(t)
 	var calls atomic.Int64
--- a/internal/dispatch/outlier_test.go
+++ b/internal/dispatch/outlier_test.go
@@ -124,7 +124,7 @@
 	g.Expect(oc.list).To(HaveEach("e0 " + strconv.Itoa(int(placement.Done))))
 }
 
-// Guards against a loss of an engine that turned a run away which was to go on there.
+// Guards against a loss of an engine that rejected a run which was to go on there.
 func TestEngineThatTurnsARunAwayHasNotLostIt(t *testing.T) {
 	g := NewWithT(t)
 	script := func(conn net.Conn, re *http.Request) {
--- a/internal/dispatch/resume.go
+++ b/internal/dispatch/resume.go
@@ -16,7 +16,7 @@
 
 // continueStream resumes an interrupted stream where its run was moved to, or
 // from its standby copy. If neither is possible, it ends the stream. A call at the copy
-// that fails is an interruption like that of a stream: migration.Knowledge tells what may
+// that fails is an interruption like that of a stream: migration.Knowledge has what may
 // follow.
 func (se *session) continueStream(cause error) {
 	se.answer.Close()
--- a/internal/gateway/restore_test.go
+++ b/internal/gateway/restore_test.go
@@ -91,7 +91,7 @@
 }
 
 // Guards against a lost entry that another instance writes again after its own instance
-// did, with the address that it had before: nobody could reach that one any more.
+// did, with the address that it had before: no instance could reach that one any more.
 func TestRestoredEntryReplacesNoNewerOne(t *testing.T) {
 	g := NewWithT(t)
 	older, newer := loadshare.Member{Name: "i", LinkMbps: 10}, loadshare.Member{Name: "i", LinkMbps: 20}
--- a/internal/gateway/signals.go
+++ b/internal/gateway/signals.go
@@ -54,7 +54,7 @@
 // forgetEndpoints drops what is known of endpoints that no longer exist.
 func (gw *Gateway) forgetEndpoints() {
 	vi := gw.roster.View()
-	// Before the endpoints are listed, what other instances told of them is kept.
+	// Before the endpoints are listed, what other instances stated of them is kept.
 	known := func(id string) bool { _, found := vi.Get(id); return found || !vi.Listed }
 	gw.tracker.Forget(known)
 	gw.signals.Forget(known)
--- a/internal/lease/lost_answer_test.go
+++ b/internal/lease/lost_answer_test.go
@@ -45,7 +45,7 @@
 	ls.delivered = nil
 }
 
-// Guards against a holder that gives up its lease, which no other instance may
+// Guards against a holder that releases its lease, which no other instance may
 // take for a term, because the store failed one renewal without effect.
 func TestHolderKeepsLeaseAfterRenewalWithoutEffect(t *testing.T) {
 	gm := NewWithT(t)
--- a/internal/migration/knowledge.go
+++ b/internal/migration/knowledge.go
@@ -6,14 +6,14 @@
 type Knowledge int
 
 const (
-	// Running means that the run's engine was not told to stop it, or has refused to.
+	// Running means that the run's engine was not ordered to stop it, or has refused to.
 	Running Knowledge = iota
 	// Ordered means that an order to stop the run is under way.
 	Ordered
 	// Stopped means that no engine works on the run, and that it may go on from a copy.
 	Stopped
 	// Doubtful means that the engine may work on the run or not: an order to stop it, or a
-	// call to let it go on, was sent, and no answer tells what became of that.
+	// call to let it go on, was sent, and no answer proves what became of that.
 	Doubtful
 	// OrderedInDoubt means that an order to stop a doubtful run is under way.
 	OrderedInDoubt
@@ -76,7 +76,7 @@
 	return kn
 }
 
-// mayOrder reports whether the engine may be told to stop the run.
+// mayOrder reports whether the engine may be ordered to stop the run.
 func (kn Knowledge) mayOrder() bool { return kn.may(OrderSent) }
 
 // ProvesEnd reports whether a stream that ends with its connection, after a whole event,
--- a/internal/migration/knowledge_test.go
+++ b/internal/migration/knowledge_test.go
@@ -166,7 +166,7 @@
 
 // Guards against two engines that work on one run, and against a stream that ends as
 // complete although its run was stopped: in whichever order orders and calls are sent, get
-// lost, are turned away, are carried out and are answered, and engines drop the run.
+// lost, are rejected, are carried out and are answered, and engines drop the run.
 func TestRunIsNeverTwice(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		rm := &runModel{T: rt, run: &Run{}, works: [3]bool{true}, pending: nothingPending}
--- a/internal/record/left_segment_test.go
+++ b/internal/record/left_segment_test.go
@@ -28,7 +28,7 @@
 	return rs.Store.Update(ctx, key, previous, value)
 }
 
-// Guards against segments that no page refers to and nobody deletes: a store that refuses
+// Guards against segments that no page refers to and nothing deletes: a store that refuses
 // writes for a while gets another one with each attempt.
 func TestSegmentOfRefusedPageIsDeleted(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/relay/outage_test.go
+++ b/internal/relay/outage_test.go
@@ -62,7 +62,7 @@
 }
 
 // maxMessageRate is the number of messages a second that an instance may send
-// while nobody can read the store.
+// while no instance can read the store.
 const maxMessageRate = 150
 
 // The store is down for eight seconds. One instance of each zone tries it at a
