refusal: the body and the metric have the status that the caller gets

The gateway's port sends 502 or 408 in place of a status that says more, or less, than is known of a request, but the body's "status" and the metric's label kept the first one: a caller with 408 read 504 in the body.

The rule stands in refusal.PromisedStatus now, which the port, the body and the metric use. TestPromisedStatus asks for the status in the body, for all reasons; before, it failed ("deadline_passed, dispatched false: the body lacks "status":408", and four more); it passes now.

--- a/internal/dispatch/forward_test.go
+++ b/internal/dispatch/forward_test.go
@@ -50,7 +50,7 @@
 		if ru.RetryAfter > 0 {
 			fields = "Retry-After: " + strconv.FormatFloat(ru.RetryAfter.Seconds(), 'f', 3, 64) + "\r\n"
 		}
-		reply(ru.Status, fields, string(er.ProblemOf("", "")))(conn, re)
+		reply(ru.Status, fields, string(er.ProblemOf("", "", ru.Status)))(conn, re)
 	}
 }
 
--- a/internal/dispatch/meter.go
+++ b/internal/dispatch/meter.go
@@ -25,7 +25,7 @@
 	}
 	tags := map[string]string{"status": strconv.Itoa(rp.Status), "reason": "answered"}
 	if rp.Refusal != nil {
-		tags["status"], tags["reason"] = strconv.Itoa(rp.Refusal.Rule().Status), string(rp.Refusal.Reason)
+		tags["status"], tags["reason"] = strconv.Itoa(rp.Refusal.PromisedStatus()), string(rp.Refusal.Reason)
 	}
 	me.Scope.Tagged(tags).Counter("replies").Inc(1)
 	me.Scope.Histogram("reply_seconds", replyBuckets).RecordDuration(took)
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -199,7 +199,7 @@
 	if after := ru.RetryAfterHeader(); after != "" {
 		ctx.Response.Header.Set("Retry-After", after)
 	}
-	ctx.SetBody(er.ProblemOf(id, se.Instance))
+	ctx.SetBody(er.ProblemOf(id, se.Instance, ru.Status))
 }
 
 // handleReadError answers a request that fasthttp could not read. It
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"io"
 	"net"
-	"net/http"
 	"runtime/debug"
 	"strconv"
 	"sync/atomic"
@@ -261,36 +260,15 @@
 	return pb.ReadCloser.Close()
 }
 
-// refuse writes the instance's own answer. If the status of the refusal's rule
-// implies that the request has not run but its outcome does not guarantee that,
-// refuse uses the status 502 instead. If its time passed before it was sent, refuse uses
-// the status 408, which implies that it has not run, as 504 does not.
+// refuse writes the instance's own answer.
 func refuse(ctx *fasthttp.RequestCtx, re *dispatch.Request, er *refusal.Error) {
-	ru := er.Rule()
-	status := ru.Status
-	switch {
-	case ru.Outcome != refusal.NotRun && impliesNotRun(status):
-		status = http.StatusBadGateway
-	case ru.Outcome == refusal.NotRun && status == http.StatusGatewayTimeout:
-		status = http.StatusRequestTimeout
-	}
+	ru, status := er.Rule(), er.PromisedStatus()
 	ctx.SetStatusCode(status)
-	if ru.RetryAfter > 0 && impliesNotRun(status) {
+	if ru.RetryAfter > 0 && refusal.ImpliesNotRun(status) {
 		ctx.Response.Header.Set("Retry-After", strconv.FormatFloat(retryAfter(re, ru.RetryAfter).Seconds(), 'f', 3, 64))
 	}
 	ctx.SetContentType(refusal.ContentType)
-	ctx.SetBody(er.ProblemOf(re.ID, ""))
-}
-
-// impliesNotRun reports whether callers may conclude from a status that the
-// request has not run.
-func impliesNotRun(status int) bool {
-	switch status {
-	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
-		return true
-	default:
-		return false
-	}
+	ctx.SetBody(er.ProblemOf(re.ID, "", status))
 }
 
 // retryAfterDivisor divides the caller's timeout to get the maximum Retry-After. A
--- a/internal/ingress/server_test.go
+++ b/internal/ingress/server_test.go
@@ -211,13 +211,16 @@
 			er.Dispatched = dispatched
 			var ctx fasthttp.RequestCtx
 			refuse(&ctx, &dispatch.Request{}, er)
-			if impliesNotRun(ctx.Response.StatusCode()) && er.Rule().Outcome != refusal.NotRun {
+			if refusal.ImpliesNotRun(ctx.Response.StatusCode()) && er.Rule().Outcome != refusal.NotRun {
 				t.Errorf("%s, dispatched %v: status %d implies that the request has not run, the outcome does not", reason, dispatched, ctx.Response.StatusCode())
 			}
-			if !impliesNotRun(ctx.Response.StatusCode()) && len(ctx.Response.Header.Peek("Retry-After")) > 0 {
+			if !refusal.ImpliesNotRun(ctx.Response.StatusCode()) && len(ctx.Response.Header.Peek("Retry-After")) > 0 {
 				t.Errorf("%s: Retry-After for a request that may have run", reason)
 			}
-			if er.Rule().Outcome == refusal.NotRun && ctx.Response.StatusCode() >= 500 && !impliesNotRun(ctx.Response.StatusCode()) {
+			if pr := fmt.Sprintf(`"status":%d`, ctx.Response.StatusCode()); !strings.Contains(string(ctx.Response.Body()), pr) {
+				t.Errorf("%s, dispatched %v: the body lacks %s", reason, dispatched, pr)
+			}
+			if er.Rule().Outcome == refusal.NotRun && ctx.Response.StatusCode() >= 500 && !refusal.ImpliesNotRun(ctx.Response.StatusCode()) {
 				t.Errorf("%s: status %d hides that the request has not run", reason, ctx.Response.StatusCode())
 			}
 		}
--- a/internal/refusal/problem.go
+++ b/internal/refusal/problem.go
@@ -28,14 +28,14 @@
 }
 
 // Problem returns the refusal as JSON without a request ID and an instance.
-func (er *Error) Problem() []byte { return er.ProblemOf("", "") }
+func (er *Error) Problem() []byte { return er.ProblemOf("", "", er.Rule().Status) }
 
-// ProblemOf returns the refusal as JSON with the request ID and the name of the
-// instance.
-func (er *Error) ProblemOf(request, instance string) []byte {
+// ProblemOf returns the refusal as JSON with the request ID, the name of the
+// instance and the status that the caller gets.
+func (er *Error) ProblemOf(request, instance string, status int) []byte {
 	ru := er.Rule()
 	data, err := json.Marshal(Problem{
-		Title: "request not answered", Status: ru.Status, Reason: er.Reason, Outcome: ru.Outcome,
+		Title: "request not answered", Status: status, Reason: er.Reason, Outcome: ru.Outcome,
 		Detail: er.Detail, RetryAfter: ru.retrySeconds(), Request: request, Instance: instance,
 	})
 	if err != nil {
