dispatch: tests of moved runs share one harness

Four tests of calls at copies each wrote the same engines and mover: newMovingHarness has them once. The assertions are unchanged.

--- a/internal/dispatch/copycall_test.go
+++ b/internal/dispatch/copycall_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -79,25 +81,34 @@
 	g.Expect(ha.received()).To(Equal(2))
 }
 
-// Guards against a loss, counted against an engine's version, that is none: the engine had
-// stopped the run by order, and the engine of the copy rejected it.
-func TestEngineOfAMovedRunIsNotAccused(t *testing.T) {
-	g := NewWithT(t)
-	script := func(conn net.Conn, re *http.Request) {
+// newMovingHarness returns a harness with a number of engines that crash in the middle of an
+// answer. A run goes on at the last of them by the handle "h1", which is answered as atCopy
+// says.
+func newMovingHarness(t *testing.T, atCopy script, engines int) *harness {
+	t.Helper()
+	answers := func(conn net.Conn, re *http.Request) {
 		if re.Header.Get("From") == "h1" {
-			busy(conn, re)
+			atCopy(conn, re)
 			return
 		}
 		crashes(conn, re)
 	}
-	ha := newHarness(t, script, script)
+	ha := newHarness(t, slices.Repeat([]script{answers}, engines)...)
 	ha.preferInOrder()
+	target, _ := ha.Roster.View().Get(fmt.Sprint("e", engines-1))
+	ha.Runs = &moverOnce{harness: ha, target: target}
+	return ha
+}
+
+// Guards against a loss, counted against an engine's version, that is none: the engine had
+// stopped the run by order, and the engine of the copy rejected it.
+func TestEngineOfAMovedRunIsNotAccused(t *testing.T) {
+	g := NewWithT(t)
+	ha := newMovingHarness(t, busy, 2)
 	ha.suspecting()
 	ha.Reachable = func(context.Context, string) bool { return true }
 	ro := &recordingRollouts{}
 	ha.Rollouts = ro
-	target, _ := ha.Roster.View().Get("e1")
-	ha.Runs = &moverOnce{harness: ha, target: target}
 	got, err := readEvents(ha.Serve(t.Context(), ha.longRequest()))
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(got).To(Equal(numbered(1, 6)))
@@ -161,18 +172,9 @@
 // copy.
 func TestUnreachableCopyIsNotCalledAgain(t *testing.T) {
 	g := NewWithT(t)
-	script := func(conn net.Conn, re *http.Request) {
-		if re.Header.Get("From") == "h1" {
-			hangs(conn, re)
-			return
-		}
-		crashes(conn, re)
-	}
-	ha := newHarness(t, script, script, script)
-	ha.preferInOrder()
+	ha := newMovingHarness(t, hangs, 3)
 	target, _ := ha.Roster.View().Get("e2")
 	ha.Tracker.Begin(target, placement.Demand{Engine: ha.engine(), Prompt: 6000}) // no standby copy there
-	ha.Runs = &moverOnce{harness: ha, target: target}
 	ha.Reachable = func(context.Context, string) bool { return false }
 	re := ha.longRequest()
 	re.Path, re.Target = "/long/", "/long/"
@@ -188,19 +190,9 @@
 func TestFurtherCallsAtCopiesTakeFromTheBudget(t *testing.T) {
 	for extra, received := range map[float64]int{1: 2, 2: 3} {
 		g := NewWithT(t)
-		script := func(conn net.Conn, re *http.Request) {
-			if re.Header.Get("From") == "h1" {
-				busy(conn, re)
-				return
-			}
-			crashes(conn, re)
-		}
-		ha := newHarness(t, script, script)
-		ha.preferInOrder()
+		ha := newMovingHarness(t, busy, 2)
 		ha.Budget.Extra = func() float64 { return extra }
 		ha.Budget.Ratio = 0
-		target, _ := ha.Roster.View().Get("e1")
-		ha.Runs = &moverOnce{harness: ha, target: target}
 		_, err := readEvents(ha.Serve(t.Context(), ha.longRequest()))
 		g.Expect(err == nil).To(Equal(received == 3))
 		g.Expect(ha.received()).To(Equal(received))
@@ -211,17 +203,7 @@
 // had been called before, without an answer, and was taken for the one where the run was.
 func TestVersionIsStoppedBeforeTheSecondCall(t *testing.T) {
 	g := NewWithT(t)
-	script := func(conn net.Conn, re *http.Request) {
-		if re.Header.Get("From") == "h1" {
-			_ = conn.Close()
-			return
-		}
-		crashes(conn, re)
-	}
-	ha := newHarness(t, script, script)
-	ha.preferInOrder()
-	target, _ := ha.Roster.View().Get("e1")
-	ha.Runs = &moverOnce{harness: ha, target: target}
+	ha := newMovingHarness(t, func(conn net.Conn, _ *http.Request) { _ = conn.Close() }, 2)
 	rp := ha.Serve(t.Context(), ha.longRequest())
 	turns := 0
 	ha.Gate.Limiter = changedLimiter{ha.limit(map[string]time.Duration{"e0": 0, "e1": 0}), func(en roster.Endpoint) {
