upstream: the log names skipped answers and the connection of an attempt

Change: attempt_failed has status, connection and the number of calls on it; answer_skipped and the counter answers_skipped tell of each answer beyond the one that was due.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -5,6 +5,8 @@
 	"errors"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"filbertstall.example/filbertstall/internal/backpressure"
 	"filbertstall.example/filbertstall/internal/buffer"
 	"filbertstall.example/filbertstall/internal/placement"
@@ -201,7 +203,7 @@
 	_ = an.Discard(maxDiscardedBytes)
 	an.Close()
 	ta.arrivals++
-	di.logFailedAttempt(ta, en, "not_run", nil)
+	di.logFailedAnswer(ta, en, "not_run", an)
 	if ve.Misdirected {
 		di.Roster.Leave(en.ID)
 	}
@@ -230,7 +232,7 @@
 		return result{step: deliver, answer: an, verdict: ve, ticket: ti, sentAt: sentAt}
 	}
 	di.recordAnswer(ta, en, sentAt, true)
-	di.logFailedAttempt(ta, en, "failed_there", nil)
+	di.logFailedAnswer(ta, en, "failed_there", an)
 	ti.End(placement.Failed)
 	_ = an.Discard(maxDiscardedBytes)
 	an.Close()
@@ -271,8 +273,21 @@
 
 // logFailedAttempt logs and counts an attempt whose answer is not delivered.
 func (di *Dispatcher) logFailedAttempt(ta *task, en roster.Endpoint, outcome string, err error) {
+	di.failedAttempt(ta, en, outcome).AnErr("cause", err).Msg("dispatch: attempt failed")
+}
+
+// logFailedAnswer is logFailedAttempt for an attempt whose answer was read. It names the
+// connection: an answer to an earlier request may arrive on one that is used again.
+func (di *Dispatcher) logFailedAnswer(ta *task, en roster.Endpoint, outcome string, an *upstream.Answer) {
+	co := an.Connection()
+	di.failedAttempt(ta, en, outcome).Int("status", an.Status).Str("local", co.Local).Str("remote", co.Remote).
+		Int("calls_on_connection", co.Calls).Msg("dispatch: attempt failed")
+}
+
+// failedAttempt counts an attempt whose answer is not delivered and returns its log event.
+func (di *Dispatcher) failedAttempt(ta *task, en roster.Endpoint, outcome string) *zerolog.Event {
 	di.Meter.countAttempt(outcome)
-	di.Log.Info().Str("event", "attempt_failed").Str("request", ta.ID).Str("endpoint", en.ID).Str("endpoint_version", en.Version).Str("how", outcome).
+	return di.Log.Info().Str("event", "attempt_failed").Str("request", ta.ID).Str("endpoint", en.ID).Str("endpoint_version", en.Version).Str("how", outcome).
 		Str("repeat", ta.route.RetryClass.String()).Int("ran", ta.ran).Int("arrivals", ta.arrivals).
-		Dur("left", ta.remaining(di.Clock.Now())).AnErr("cause", err).Msg("dispatch: attempt failed")
+		Dur("left", ta.remaining(di.Clock.Now()))
 }
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -30,7 +30,7 @@
 // buildForwarding lets other instances serve requests whose endpoints this instance
 // cannot reach, and serves theirs. It returns the controllers that are needed for it.
 func (gw *Gateway) buildForwarding(li listeners, di *dispatch.Dispatcher, hangups *hangup.Watcher, takes func(string) bool) []controller.Controller {
-	gw.forwardPool = upstream.Pool{IDHeader: gw.Adapter.IDHeader, Clock: gw.Clock}
+	gw.forwardPool = upstream.Pool{IDHeader: gw.Adapter.IDHeader, Clock: gw.Clock, OnSkip: gw.logSkipped}
 	di.Forwarder = &forwarding.Forwarder{
 		Pool: &gw.forwardPool, Encode: gw.Adapter.Codec.Forward, Self: gw.Settings.member(), Members: &gw.members, Takes: takes, Paths: &gw.paths, Boot: gw.Boot,
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -229,7 +229,7 @@
 	gw.stopping = loadshare.Stopping{Boot: gw.Boot, Changes: gw.tracker.Changes}
 	gw.memory = divideMemory(se.MemoryBytes)
 	gw.shutdown = shutdown.Schedule{Clock: gw.Clock}
-	gw.pool = upstream.Pool{IDHeader: gw.Adapter.IDHeader, Clock: gw.Clock, Dial: gw.Dial}
+	gw.pool = upstream.Pool{IDHeader: gw.Adapter.IDHeader, Clock: gw.Clock, Dial: gw.Dial, OnSkip: gw.logSkipped}
 	gw.buildGate(se.member())
 	gw.buildOutliers()
 	engines := gw.Adapter.Engines(&gw.gate)
--- a/internal/upstream/answer.go
+++ b/internal/upstream/answer.go
@@ -50,6 +50,9 @@
 	return ""
 }
 
+// Connection returns the connection on which the answer arrived.
+func (an *Answer) Connection() Connection { return an.cn.describe() }
+
 // Read implements io.Reader. If the body is framed, it returns io.EOF only after
 // the complete body.
 func (an *Answer) Read(into []byte) (int, error) {
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -38,6 +38,20 @@
 	idleSince  time.Time
 	idleLimit  time.Duration
 	writeState atomic.Int32
+	// calls is the number of calls that were sent, including the present one.
+	calls int
+}
+
+// Connection identifies a connection to an endpoint in logs.
+type Connection struct {
+	// Local and Remote are the addresses of both ends, as IP and port.
+	Local, Remote string
+	// Calls is the number of calls that were sent over it, including the present one.
+	Calls int
+}
+
+func (cn *conn) describe() Connection {
+	return Connection{Local: cn.LocalAddr().String(), Remote: cn.RemoteAddr().String(), Calls: cn.calls}
 }
 
 func newConn(nc net.Conn, ke poolKey) *conn {
@@ -52,6 +66,7 @@
 // send writes a request. If its body is larger than asyncWriteBytes, the request
 // is written in the background while the answer is read.
 func (cn *conn) send(ca Call) error {
+	cn.calls++
 	cn.writeState.Store(writing)
 	if len(ca.Body) > asyncWriteBytes {
 		data := net.Buffers{ca.head(), ca.Body}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -38,11 +38,24 @@
 	Clock    clockwork.Clock
 	// Dial opens connections. If it is nil, connections use TCP over IPv4.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
+	// OnSkip is called for each answer that is skipped because it belongs to an earlier
+	// call. It may be nil.
+	OnSkip func(Skipped)
 
 	mu   sync.Mutex
 	idle map[poolKey][]*conn
 }
 
+// Skipped describes an answer that was skipped.
+type Skipped struct {
+	// CallID is the ID of the call whose answer is still due, AnswerID that of the earlier
+	// call to which the answer belongs.
+	CallID, AnswerID string
+	// Status is the status of the skipped answer.
+	Status     int
+	Connection Connection
+}
+
 // poolKey identifies the idle connections that a call may use.
 type poolKey struct {
 	address string
@@ -108,6 +121,9 @@
 		if !reused || !an.Framed || an.Get(po.IDHeader) == "" {
 			break
 		}
+		if po.OnSkip != nil {
+			po.OnSkip(Skipped{CallID: ca.ID, AnswerID: an.Get(po.IDHeader), Status: an.Status, Connection: an.Connection()})
+		}
 		if err := an.Discard(maxStaleBodyBytes); err != nil {
 			return nil, err
 		}
