upstream: a connection carries the ID of a call only once

Callers saw: a booking that ran twice, or was answered 503 ("has not run") though it ran; idempotent requests ran at more endpoints than max_attempts; a sound endpoint counted as gone.

Cause: connections are kept by address, what was tried is kept by endpoint ID. A request that was refused for one ID went to another ID at the same address over the same connection. An endpoint that writes its refusal once more then answers with the ID of the request under way, and the copy was taken for the answer: not run, so that the request was sent again.

Change: a connection remembers the IDs it carried (as hashes, at most 1,024, then it is not kept), and the pool gives a call only a connection that has not carried its ID. On such a connection an answer with the ID can only be the call's own; all others are skipped. This holds for each way in which an ID may come again, and for each sort of answer too many.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -3,8 +3,10 @@
 import (
 	"bufio"
 	"bytes"
+	"hash/maphash"
 	"io"
 	"net"
+	"slices"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -38,6 +40,8 @@
 	idleSince  time.Time
 	idleLimit  time.Duration
 	writeState atomic.Int32
+	// carried has the hashes of the IDs of all calls that were sent.
+	carried []uint64
 	// calls is the number of calls that were sent, including the present one.
 	calls int
 }
@@ -60,6 +64,23 @@
 
 func (cn *conn) close() { _ = cn.Close() }
 
+// maxCallsPerConn is the number of calls after which a connection is not kept. It limits
+// the memory for their IDs.
+const maxCallsPerConn = 1024
+
+// idSeed is the seed of the hashes of IDs.
+var idSeed = maphash.MakeSeed()
+
+func hashID(id string) uint64 { return maphash.String(idSeed, id) }
+
+// hasCarried reports whether a call with an ID was sent over the connection, given the hash of
+// the ID. An answer with that ID might then belong to the earlier call: an endpoint may write
+// an answer more than once.
+func (cn *conn) hasCarried(id uint64) bool { return slices.Contains(cn.carried, id) }
+
+// isUsedUp reports whether the connection has carried as many calls as it may.
+func (cn *conn) isUsedUp() bool { return len(cn.carried) >= maxCallsPerConn }
+
 // requestWritten reports whether the whole request was written.
 func (cn *conn) requestWritten() bool { return cn.writeState.Load() == writeDone }
 
@@ -67,6 +88,9 @@
 // is written in the background while the answer is read.
 func (cn *conn) send(ca Call) error {
 	cn.calls++
+	if ca.ID != "" {
+		cn.carried = append(cn.carried, hashID(ca.ID))
+	}
 	cn.writeState.Store(writing)
 	if len(ca.Body) > asyncWriteBytes {
 		data := net.Buffers{ca.head(), ca.Body}
--- a/internal/upstream/doc.go
+++ b/internal/upstream/doc.go
@@ -5,6 +5,11 @@
 // check that an answer belongs to the request, and cannot determine whether a request
 // was written. Both are needed to decide whether a request may be retried.
 //
+// An endpoint may write an answer more than once, at any later time. The ID of an answer
+// shows that it belongs to the call only if no earlier call on the connection had the same
+// ID. A connection therefore carries each ID once: a call that is sent again to the same
+// address uses another connection, and answers to other IDs are skipped.
+//
 // # Usage
 //
 //	po := &upstream.Pool{IDHeader: "Request-Id", Clock: clock}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -113,7 +114,7 @@
 			// A refusal of a call without an ID may be repeated where the answer to
 			// another such call is due.
 			isRefusal := ca.ID == "" && an.Status >= http.StatusMultipleChoices
-			an.keepAlive = an.keepAlive && !ca.Once && !isRefusal
+			an.keepAlive = an.keepAlive && !ca.Once && !isRefusal && !cn.isUsedUp()
 			return an, nil
 		}
 		// Only a reused connection can carry an answer to an earlier request. The
@@ -148,7 +149,7 @@
 
 func (po *Pool) connect(ctx context.Context, ca Call) (cn *conn, reused bool, err error) {
 	if ca.MaxIdle > 0 && !ca.Once {
-		if cn := po.take(ca.poolKey(), ca.MaxIdle); cn != nil {
+		if cn := po.take(ca); cn != nil {
 			return cn, true, nil
 		}
 	}
@@ -197,27 +198,39 @@
 	return di.DialContext(ctx, "tcp4", address)
 }
 
-// take returns the most recently used idle connection that is still usable, or
-// nil if there is none. Connections that are not usable are closed.
-func (po *Pool) take(ke poolKey, maxIdle time.Duration) *conn {
+// take returns the most recently used idle connection that is still usable and has not
+// carried a call with the same ID, or nil if there is none. Connections that are not usable
+// are closed.
+func (po *Pool) take(ca Call) *conn {
 	now := po.Clock.Now()
 	for {
-		po.mu.Lock()
-		list := po.idle[ke]
-		if len(list) == 0 {
-			po.mu.Unlock()
+		cn := po.remove(ca)
+		if cn == nil {
 			return nil
 		}
-		cn := list[len(list)-1]
-		po.idle[ke] = list[:len(list)-1]
-		po.mu.Unlock()
-		if now.Sub(cn.idleSince) < min(maxIdle, cn.idleLimit) && cn.reusable() {
+		if now.Sub(cn.idleSince) < min(ca.MaxIdle, cn.idleLimit) && cn.reusable() {
 			return cn
 		}
 		cn.close()
 	}
 }
 
+// remove removes the most recently used idle connection that has not carried a call with the
+// same ID from the pool and returns it, or nil if there is none.
+func (po *Pool) remove(ca Call) *conn {
+	ke, id := ca.poolKey(), hashID(ca.ID)
+	po.mu.Lock()
+	defer po.mu.Unlock()
+	list := po.idle[ke]
+	for ix, cn := range slices.Backward(list) {
+		if !cn.hasCarried(id) {
+			po.idle[ke] = slices.Delete(list, ix, ix+1)
+			return cn
+		}
+	}
+	return nil
+}
+
 func (po *Pool) put(cn *conn) {
 	cn.idleSince = po.Clock.Now()
 	po.mu.Lock()
