upstream: the connection in a log line is that of its own call

Operators saw: attempt_failed with the number of calls of another request, since the line was written after the connection went back to the pool (a data race). Cause: handleNotRun closes the answer before it logs, and Connection read the counter of the connection. Change: an answer keeps the number of calls at its arrival.

--- a/internal/upstream/answer.go
+++ b/internal/upstream/answer.go
@@ -23,8 +23,10 @@
 	// detected.
 	Framed bool
 
-	body      io.Reader
-	cn        *conn
+	body io.Reader
+	cn   *conn
+	// calls is the number of calls that were sent over cn until this answer.
+	calls     int
 	pool      *Pool
 	bodyRead  bool
 	keepAlive bool
@@ -50,8 +52,9 @@
 	return ""
 }
 
-// Connection returns the connection on which the answer arrived.
-func (an *Answer) Connection() Connection { return an.cn.describe() }
+// Connection returns the connection on which the answer arrived. It may be called after
+// Close, when another call may use the connection.
+func (an *Answer) Connection() Connection { return an.cn.describe(an.calls) }
 
 // Read implements io.Reader. If the body is framed, it returns io.EOF only after
 // the complete body.
@@ -120,7 +123,7 @@
 func (an *Answer) Abort() { an.cn.close() }
 
 func newAnswer(po *Pool, cn *conn, head *fasthttp.ResponseHeader, method string) *Answer {
-	an := &Answer{Status: head.StatusCode(), pool: po, cn: cn, Framed: true}
+	an := &Answer{Status: head.StatusCode(), pool: po, cn: cn, calls: cn.calls, Framed: true}
 	an.keepAlive = !head.ConnectionClose()
 	for name, value := range head.All() {
 		an.Headers = append(an.Headers, Header{Name: string(name), Value: string(value)})
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -54,8 +54,8 @@
 	Calls int
 }
 
-func (cn *conn) describe() Connection {
-	return Connection{Local: cn.LocalAddr().String(), Remote: cn.RemoteAddr().String(), Calls: cn.calls}
+func (cn *conn) describe(calls int) Connection {
+	return Connection{Local: cn.LocalAddr().String(), Remote: cn.RemoteAddr().String(), Calls: calls}
 }
 
 func newConn(nc net.Conn, ke poolKey) *conn {
