upstream: HEAD calls share no connection with others

Callers saw: a request that ran and was answered 503 ("has not run"). Cause: an answer to HEAD has no body whatever its length says. Its copy before another answer took the begin of that answer for its body, and a copy of another answer before one to HEAD left its body unread; then bytes of a body were read as an answer. Change: a HEAD call goes over a connection of its own, as calls with Once do.

--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"net/http"
 	"strconv"
 	"time"
 )
@@ -36,6 +37,11 @@
 	Once bool
 }
 
+// needsOwnConnection reports whether the call is made over a connection of its own, which is
+// not kept. An answer to HEAD has no body whatever its length says, so that its copy before
+// another answer, or another's copy before it, could not be delimited.
+func (ca Call) needsOwnConnection() bool { return ca.Once || ca.Method == http.MethodHead }
+
 // poolKey returns which idle connections the call may use. Those of calls without an ID
 // are kept apart: an endpoint may repeat their answers, and nothing distinguishes them from the
 // answer to a later call.
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -114,7 +114,7 @@
 			// A refusal of a call without an ID may be repeated where the answer to
 			// another such call is due.
 			isRefusal := ca.ID == "" && an.Status >= http.StatusMultipleChoices
-			an.keepAlive = an.keepAlive && !ca.Once && !isRefusal && !cn.isUsedUp()
+			an.keepAlive = an.keepAlive && !ca.needsOwnConnection() && !isRefusal && !cn.isUsedUp()
 			return an, nil
 		}
 		// Only a reused connection can carry an answer to an earlier request. The
@@ -148,7 +148,7 @@
 }
 
 func (po *Pool) connect(ctx context.Context, ca Call) (cn *conn, reused bool, err error) {
-	if ca.MaxIdle > 0 && !ca.Once {
+	if ca.MaxIdle > 0 && !ca.needsOwnConnection() {
 		if cn := po.take(ca); cn != nil {
 			return cn, true, nil
 		}
