endpoint: orders and cancellations go over new connections

Instances saw: an order that was carried out counted as refused, or one that was refused as done, and the same for CancelUnread, which decides whether a generation is still read. Change: requests that change something go over a new connection, as calls that are not idempotent do.

Measured: TestCopyOfAnAnswerToAnOrder fails in 18 of 18 rows before and passes now.

--- a/internal/endpoint/client.go
+++ b/internal/endpoint/client.go
@@ -104,7 +104,7 @@
 	req.Header.SetMethod(http.MethodDelete)
 	req.SetRequestURI(url + "/v1/generations/" + id)
 	req.Header.Set(UnreadHeader, "true")
-	if err := cl.pooled.DoTimeout(req, resp, defaultTimeout); err != nil {
+	if err := cl.doUnpooled(req, resp, defaultTimeout); err != nil {
 		return classify("cancel", url, err)
 	}
 	return checkStatus("cancel", url, resp.StatusCode())
@@ -130,7 +130,15 @@
 	return cl.exchange("order", url, "/orders", http.MethodPost, or, or.Fencing, nil)
 }
 
-// exchange sends a request. If body is not nil, it is sent as JSON together with
+// doUnpooled sends a request over a new connection. An endpoint may write an answer more than
+// once, and nothing ties an answer to its request: on a kept connection, the copy of an
+// earlier answer would be taken for this one.
+func (cl *Client) doUnpooled(req *fasthttp.Request, resp *fasthttp.Response, timeout time.Duration) error {
+	req.SetConnectionClose()
+	return cl.unpooled.DoTimeout(req, resp, timeout)
+}
+
+// exchange sends a request, over a new connection unless it only reads. If body is not nil, it is sent as JSON together with
 // the fencing token, and the timeout is orderTimeout. If into is not nil, the JSON
 // response is decoded into it.
 func (cl *Client) exchange(op, url, path, method string, body any, fencing int64, into any) error {
@@ -151,7 +159,11 @@
 		req.Header.Set(FencingHeader, strconv.FormatInt(fencing, 10))
 		timeout = orderTimeout
 	}
-	if err := cl.pooled.DoTimeout(req, resp, timeout); err != nil {
+	do := cl.doUnpooled
+	if method == http.MethodGet {
+		do = cl.pooled.DoTimeout
+	}
+	if err := do(req, resp, timeout); err != nil {
 		return classify(op, url, err)
 	}
 	if err := checkStatus(op, url, resp.StatusCode()); err != nil {
@@ -185,12 +197,11 @@
 		req.Header.Set(KeyHeader, re.Key)
 	}
 	req.SetBody(re.Body)
-	client := cl.pooled
+	do := cl.pooled.DoTimeout
 	if re.NewConnection {
-		client = cl.unpooled
-		req.SetConnectionClose()
+		do = cl.doUnpooled
 	}
-	if err := client.DoTimeout(req, resp, re.Timeout); err != nil {
+	if err := do(req, resp, re.Timeout); err != nil {
 		return Response{}, classify("call", url, err)
 	}
 	resp.Header.SetNoDefaultContentType(true)
