upstream: an ID that comes again adds no idle connection

Operators could see: an endpoint at its max_conns, or an instance out of descriptors, because of a caller that sends one ID again and again. Cause: since a connection carries an ID only once, each such call opened one more, and all were kept; before, one was used again. Change: if all idle connections to an address have carried the ID, the one that was idle for longest is closed, so that the new one takes its place.

--- a/internal/upstream/answer_copy_test.go
+++ b/internal/upstream/answer_copy_test.go
@@ -324,6 +324,22 @@
 	g.Expect(twice).To(BeZero())
 }
 
+// Guards against a caller that sends one ID again and again and gets a further connection kept
+// for each: the endpoint and the instance would run out of connections.
+func TestSameIDAgainAddsNoIdleConnections(t *testing.T) {
+	g := NewWithT(t)
+	ep := serveRaw(t, func(conn net.Conn, re *http.Request, _ string) { write(conn, okResponse(re.Header.Get("Id"))) })
+	po := newPool()
+	for range 50 {
+		_, err := exchange(po, ep.call("1"))
+		g.Expect(err).NotTo(HaveOccurred())
+	}
+	g.Expect(po.idle[ep.call("1").poolKey()]).To(HaveLen(1))
+	_, err := exchange(po, ep.call("2"))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(ep.connections()).To(Equal(50), "the last is used by another ID")
+}
+
 // A connection is not kept beyond maxCallsPerConn calls.
 func TestConnectionIsUsedUp(t *testing.T) {
 	g := NewWithT(t)
@@ -339,23 +355,21 @@
 }
 
 // The cost of finding a connection when each idle one has carried as many calls as it may.
-func BenchmarkTake(b *testing.B) {
+func BenchmarkLastWithout(b *testing.B) {
+	id := hashID("again")
 	for _, count := range []int{1, 16, 256} {
-		for _, hit := range []bool{true, false} {
-			b.Run(fmt.Sprintf("%d idle, found %v", count, hit), func(b *testing.B) {
-				po := newPool()
-				ca := Call{Address: "a", ID: "again", MaxIdle: time.Minute}
+		for _, found := range []bool{true, false} {
+			b.Run(fmt.Sprintf("%d idle, found %v", count, found), func(b *testing.B) {
+				var list []*conn
 				for range count {
-					cn := &conn{key: ca.poolKey(), carried: make([]uint64, maxCallsPerConn-1)}
-					if !hit {
-						cn.carried[maxCallsPerConn-2] = hashID(ca.ID)
+					cn := &conn{carried: make([]uint64, maxCallsPerConn-1)}
+					if !found {
+						cn.carried[maxCallsPerConn-2] = id
 					}
-					po.put(cn)
+					list = append(list, cn)
 				}
 				for b.Loop() {
-					if cn := po.remove(ca); cn != nil {
-						po.put(cn)
-					}
+					_ = lastWithout(list, id)
 				}
 			})
 		}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -216,19 +216,34 @@
 }
 
 // remove removes the most recently used idle connection that has not carried a call with the
-// same ID from the pool and returns it, or nil if there is none.
+// same ID from the pool and returns it, or nil if there is none. If all have carried it, the
+// one that was idle for longest is closed: the new connection takes its place.
 func (po *Pool) remove(ca Call) *conn {
 	ke, id := ca.poolKey(), hashID(ca.ID)
 	po.mu.Lock()
 	defer po.mu.Unlock()
 	list := po.idle[ke]
+	if ix := lastWithout(list, id); ix >= 0 {
+		cn := list[ix]
+		po.idle[ke] = slices.Delete(list, ix, ix+1)
+		return cn
+	}
+	if len(list) > 0 {
+		list[0].close()
+		po.idle[ke] = slices.Delete(list, 0, 1)
+	}
+	return nil
+}
+
+// lastWithout returns the index of the last connection that has not carried a call with an ID,
+// given its hash, or -1.
+func lastWithout(list []*conn, id uint64) int {
 	for ix, cn := range slices.Backward(list) {
 		if !cn.hasCarried(id) {
-			po.idle[ke] = slices.Delete(list, ix, ix+1)
-			return cn
+			return ix
 		}
 	}
-	return nil
+	return -1
 }
 
 func (po *Pool) put(cn *conn) {
