dispatch: a stream without framing ends where another answer begins

Callers saw: the copy of an earlier answer, written between the events of a stream with neither length nor chunks, was passed on as events, and the stream ended as complete.

Cause: the end of the connection is all that frames such a stream. Change: an event with the status line of an answer in place of a field breaks the stream off before it; the run may go on elsewhere as after any broken stream.

--- a/internal/dispatch/resume.go
+++ b/internal/dispatch/resume.go
@@ -22,6 +22,7 @@
 	se.answer.Close()
 	se.pending = se.pending[:se.completeBytes]
 	se.scannedBytes = se.completeBytes
+	se.isMixed = false
 	for se.failedCalls = 0; se.failedCalls < maxFailedCalls && se.ctx.Err() == nil && se.moves < maxMoves; se.failedCalls++ {
 		unreachable := se.stall.foundUnreachable()
 		se.stopStallWatch()
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -110,6 +110,8 @@
 	memory buffer.Share
 	// scannedBytes is the number of bytes of pending that have no further end of an event.
 	scannedBytes int
+	// isMixed is set once another answer began where an event was due.
+	isMixed bool
 	// lastEvent is the ID of the last complete event that has one.
 	lastEvent string
 	events    int
@@ -206,7 +208,10 @@
 		se.stall.eventArrived()
 		se.checkProven()
 	}
-	if err == nil && !se.fitsInMemory() {
+	switch {
+	case se.isMixed:
+		err = errMixed
+	case err == nil && !se.fitsInMemory():
 		err = errEventTooLarge
 	}
 	if err == nil {
@@ -279,6 +284,10 @@
 		}
 		end += from - se.completeBytes
 		event := se.pending[se.completeBytes : se.completeBytes+end]
+		if beginsAnswer(event) {
+			se.isMixed = true
+			break
+		}
 		se.completeBytes += end + len(eventDelimiter)
 		if id := eventID(event); id != "" {
 			se.lastEvent = id
@@ -291,6 +300,19 @@
 	}
 }
 
+var errMixed = errors.New("dispatch: another answer begins where an event is due")
+
+// beginsAnswer reports whether an event has the status line of an answer in place of a field.
+// The framing of a stream without length and chunks doesn't show an answer inside it.
+func beginsAnswer(event []byte) bool {
+	for line := range bytes.SplitSeq(event, []byte("\n")) {
+		if bytes.HasPrefix(line, []byte("HTTP/1.")) {
+			return true
+		}
+	}
+	return false
+}
+
 // logPause logs a pause between events that is longer than the route's MaxGap.
 func (se *session) logPause() {
 	now := se.di.Clock.Now()
