--- a/internal/buffer/buffer.go
+++ b/internal/buffer/buffer.go
@@ -91,7 +91,7 @@
 	return bf.size
 }
 
-// Small returns the whole body if it fits into the first chunk.
+// Small returns the whole body if it is in one chunk.
 func (bf *Buffer) Small() ([]byte, bool) {
 	switch {
 	case bf.Len() == 0:
@@ -103,6 +103,30 @@
 	}
 }
 
+// Join puts the whole body into one chunk. It returns ErrFull, and changes nothing, if the
+// budget has no memory for the copy.
+func (bf *Buffer) Join() error {
+	if len(bf.chunks) < 2 {
+		return nil
+	}
+	if !bf.share.Resize(int64(bf.capacity + bf.size - firstChunkBytes)) {
+		return ErrFull
+	}
+	whole := make([]byte, 0, bf.size)
+	for _, chunk := range bf.chunks {
+		whole = append(whole, chunk...)
+	}
+	bf.chunks, bf.capacity = [][]byte{whole}, bf.size
+	bf.share.Resize(int64(bf.size))
+	return nil
+}
+
+// Bytes returns the body of a joined buffer. It is valid until the buffer is freed.
+func (bf *Buffer) Bytes() []byte {
+	data, _ := bf.Small()
+	return data
+}
+
 // Free gives the memory back. The buffer is empty afterwards.
 func (bf *Buffer) Free() {
 	if bf == nil {
--- a/internal/writetimeout/conn.go
+++ b/internal/writetimeout/conn.go
@@ -38,12 +38,26 @@
 	if err != nil {
 		return nil, err
 	}
-	if tc, isTCP := conn.(*net.TCPConn); isTCP {
+	if tc := tcpConn(conn); tc != nil {
 		_ = tc.SetWriteBuffer(callerSocketBytes)
 	}
 	return &Conn{Conn: conn, timeout: li.Timeout}, nil
 }
 
+// tcpConn returns the TCP connection inside wrappers such as TLS, or nil if there is none.
+func tcpConn(conn net.Conn) *net.TCPConn {
+	for {
+		if tc, isTCP := conn.(*net.TCPConn); isTCP {
+			return tc
+		}
+		wrapper, isWrapper := conn.(interface{ NetConn() net.Conn })
+		if !isWrapper {
+			return nil
+		}
+		conn = wrapper.NetConn()
+	}
+}
+
 // Conn is a connection whose writes fail if they block for longer than the
 // listener's timeout.
 type Conn struct {
