ingress: bodies take their memory while they arrive

Clients that stopped one byte before the end of a body held memory that was counted only once the body was whole, so that 40 of them took more than the process had.

Cause: the HTTP library read the body before the handler took it from the budget, and it allocated what a length announced. Change: the handler reads the body itself (ReadBody), chunk by chunk into the budget for bodies; the memory stays counted until the answer is written, and the request holds the body without another copy. A body over the configured limit is refused by its length. A refused body is read on for a while so that the refusal arrives.

--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -21,8 +21,8 @@
 type forwardedCodec struct{ Codec }
 
 // Request implements ingress.Codec.
-func (fc forwardedCodec) Request(ctx *fasthttp.RequestCtx, arrived time.Time) *dispatch.Request {
-	re := fc.Codec.Request(ctx, arrived)
+func (fc forwardedCodec) Request(ctx *fasthttp.RequestCtx, body []byte, arrived time.Time) *dispatch.Request {
+	re := fc.Codec.Request(ctx, body, arrived)
 	re.Forwarded = true
 	return re
 }
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net"
+	"os"
 	"runtime/debug"
 	"strconv"
 	"sync/atomic"
@@ -19,6 +20,7 @@
 	"filbertstall.example/filbertstall/internal/buffer"
 	"filbertstall.example/filbertstall/internal/dispatch"
 	"filbertstall.example/filbertstall/internal/hangup"
+	"filbertstall.example/filbertstall/internal/intake"
 	"filbertstall.example/filbertstall/internal/readahead"
 	"filbertstall.example/filbertstall/internal/refusal"
 	"filbertstall.example/filbertstall/internal/shutdown"
@@ -28,8 +30,9 @@
 
 // Codec decodes requests in a platform's format.
 type Codec interface {
-	// Request decodes a request. The result holds no reference to ctx.
-	Request(ctx *fasthttp.RequestCtx, arrived time.Time) *dispatch.Request
+	// Request decodes a request with its body. The result holds no reference to ctx, but may
+	// hold the body.
+	Request(ctx *fasthttp.RequestCtx, body []byte, arrived time.Time) *dispatch.Request
 	// AnswerHeaders returns the header fields of an endpoint's answer that are
 	// passed on to the caller.
 	AnswerHeaders(list []upstream.Header) []upstream.Header
@@ -41,14 +44,6 @@
 	maxHeaderBytes = 32 << 10
 	// DefaultMaxBodyBytes limits the body of a request.
 	DefaultMaxBodyBytes = 64 << 20
-	// smallBodyBytes is the size up to which the body of a request is not taken from
-	// Server.Memory.
-	smallBodyBytes = 16 << 10
-	// bodyCopies is how often the body of a request is in memory: as received, and as
-	// decoded for its attempts.
-	bodyCopies = 2
-	// readTimeout limits the time from the first byte of a request to its last.
-	readTimeout = 30 * time.Second
 	// idleTimeout is longer than the idle timeout that is announced to callers, so
 	// that callers close idle connections first.
 	idleTimeout = 75 * time.Second
@@ -76,6 +71,12 @@
 	Memory *buffer.Budget
 	// MaxBodyBytes limits the body of one request. Zero means DefaultMaxBodyBytes.
 	MaxBodyBytes int
+	// ConfiguredBodyBytes returns the limit for the body of one request that the configuration
+	// in force has, or zero if it has none. It may be nil.
+	ConfiguredBodyBytes func() int
+	// Intake limits the connections, and the time in which a request arrives. If it is nil,
+	// they have no limits.
+	Intake *intake.Limiter
 
 	server    fasthttp.Server
 	stopping  atomic.Bool
@@ -89,8 +90,8 @@
 	se.base, se.cancelAll = context.WithCancelCause(context.Background())
 	se.server = fasthttp.Server{
 		Handler: se.handle, NoDefaultServerHeader: true, NoDefaultDate: true, NoDefaultContentType: true,
-		MaxRequestBodySize: cmp.Or(se.MaxBodyBytes, DefaultMaxBodyBytes), ReadBufferSize: maxHeaderBytes, ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
-		CloseOnShutdown: true, DisablePreParseMultipartForm: true, Logger: writetimeout.QuietLogger{},
+		MaxRequestBodySize: cmp.Or(se.MaxBodyBytes, DefaultMaxBodyBytes), ReadBufferSize: maxHeaderBytes, IdleTimeout: idleTimeout,
+		StreamRequestBody: true, ReduceMemoryUsage: true, CloseOnShutdown: true, DisablePreParseMultipartForm: true, Logger: writetimeout.QuietLogger{},
 	}
 }
 
@@ -101,7 +102,11 @@
 func (se *Server) Run(ctx context.Context) error {
 	stop := context.AfterFunc(ctx, func() { _ = se.Listener.Close() })
 	defer stop()
-	err := se.server.Serve(writetimeout.Listener{Listener: se.Listener, Timeout: writetimeout.DefaultTimeout})
+	ln := se.Listener
+	if se.Intake != nil {
+		ln = se.Intake.Listen(ln)
+	}
+	err := se.server.Serve(writetimeout.Listener{Listener: ln, Timeout: writetimeout.DefaultTimeout})
 	if ctx.Err() != nil || se.stopping.Load() {
 		return nil
 	}
@@ -165,16 +170,23 @@
 }
 
 func (se *Server) serve(ctx *fasthttp.RequestCtx) {
-	re := se.Codec.Request(ctx, se.Clock.Now())
 	if inFlight := se.inFlight.Add(1); se.MaxInFlight > 0 && inFlight > se.MaxInFlight {
 		se.inFlight.Add(-1)
-		se.refuse(ctx, re, refusal.New(refusal.QueueFull, "the instance serves as many requests of others as it takes"))
+		se.refuseUnread(ctx, refusal.New(refusal.QueueFull, "the instance serves as many requests of others as it takes"))
+		return
+	}
+	body, err := intake.ReadBody(ctx, se.Memory, se.bodyLimit())
+	if err != nil {
+		se.inFlight.Add(-1)
+		se.refuseUnread(ctx, refusalOfBody(err))
 		return
 	}
-	body := buffer.Share{Budget: se.Memory}
-	if size := len(re.Body); size > smallBodyBytes && !body.Resize(bodyCopies*int64(size)) {
+	intake.Served(ctx.Conn())
+	re, er := se.decode(ctx, body.Bytes())
+	if er != nil {
+		body.Free()
 		se.inFlight.Add(-1)
-		se.refuse(ctx, re, refusal.New(refusal.QueueFull, "the bodies of the requests in flight take all memory that they may"))
+		se.refuse(ctx, re, er)
 		return
 	}
 	requestCtx, cancel := context.WithCancelCause(se.base)
@@ -182,7 +194,7 @@
 	release := func() {
 		stopWatch()
 		cancel(nil)
-		body.Resize(0)
+		body.Free()
 		se.inFlight.Add(-1)
 	}
 	rp := se.dispatch(requestCtx, re)
@@ -213,6 +225,49 @@
 	}
 }
 
+// bodyLimit returns the limit for the body of one request, in bytes.
+func (se *Server) bodyLimit() int {
+	limit := cmp.Or(se.MaxBodyBytes, DefaultMaxBodyBytes)
+	if se.ConfiguredBodyBytes == nil {
+		return limit
+	}
+	return min(limit, cmp.Or(se.ConfiguredBodyBytes(), limit))
+}
+
+// refuseUnread refuses a request whose body was not read, and closes its connection.
+func (se *Server) refuseUnread(ctx *fasthttp.RequestCtx, er *refusal.Error) {
+	if co, ok := ctx.Conn().(*writetimeout.Conn); ok {
+		co.MarkUnread()
+	}
+	ctx.Response.SetConnectionClose()
+	re, _ := se.decode(ctx, nil)
+	se.refuse(ctx, re, er)
+}
+
+// decode decodes a request. A panic becomes a refusal.
+func (se *Server) decode(ctx *fasthttp.RequestCtx, body []byte) (re *dispatch.Request, er *refusal.Error) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			re, er = &dispatch.Request{}, se.refusalOfPanic("", cause)
+		}
+	}()
+	return se.Codec.Request(ctx, body, se.Clock.Now()), nil
+}
+
+// refusalOfBody returns the refusal of a request whose body could not be read.
+func refusalOfBody(err error) *refusal.Error {
+	switch {
+	case errors.Is(err, buffer.ErrTooLarge):
+		return refusal.Wrap(refusal.TooLarge, "the body is too large", err)
+	case errors.Is(err, buffer.ErrFull):
+		return refusal.Wrap(refusal.QueueFull, "the bodies of the requests in flight take all memory that they may", err)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return refusal.Wrap(refusal.DeadlinePassed, "the body did not arrive in time", err)
+	default:
+		return refusal.Wrap(refusal.BadRequest, "the body is not readable", err)
+	}
+}
+
 // errCallerDisconnected is the cancellation cause of requests whose caller closed
 // the connection.
 var errCallerDisconnected = errors.New("ingress: the caller closed the connection")
--- a/internal/ingress/server_test.go
+++ b/internal/ingress/server_test.go
@@ -35,10 +35,10 @@
 // testCodec is the codec of a minimal platform, whose only header field is Id.
 type testCodec struct{}
 
-func (testCodec) Request(ctx *fasthttp.RequestCtx, arrived time.Time) *dispatch.Request {
+func (testCodec) Request(ctx *fasthttp.RequestCtx, body []byte, arrived time.Time) *dispatch.Request {
 	return &dispatch.Request{
 		ID: string(ctx.Request.Header.Peek("Id")), Method: string(ctx.Method()), Target: string(ctx.RequestURI()), Path: string(ctx.Path()),
-		Host: "h", Body: append([]byte(nil), ctx.PostBody()...), Arrived: arrived, CallerTimeout: time.Second,
+		Host: "h", Body: body, Arrived: arrived, CallerTimeout: time.Second,
 	}
 }
 
@@ -330,11 +330,11 @@
 // decoded.
 type panickingCodec struct{ testCodec }
 
-func (pc panickingCodec) Request(ctx *fasthttp.RequestCtx, arrived time.Time) *dispatch.Request {
+func (pc panickingCodec) Request(ctx *fasthttp.RequestCtx, body []byte, arrived time.Time) *dispatch.Request {
 	if string(ctx.Path()) == "/decode" {
 		panic("unexpected request")
 	}
-	return pc.testCodec.Request(ctx, arrived)
+	return pc.testCodec.Request(ctx, body, arrived)
 }
 
 func (pc panickingCodec) Call(re *dispatch.Request, at dispatch.Attempt) upstream.Call {
--- a/internal/ingress/stop_write_test.go
+++ b/internal/ingress/stop_write_test.go
@@ -50,8 +50,8 @@
 // patientCodec is testCodec for callers that wait as long as their route lets them.
 type patientCodec struct{ testCodec }
 
-func (pc patientCodec) Request(ctx *fasthttp.RequestCtx, arrived time.Time) *dispatch.Request {
-	re := pc.testCodec.Request(ctx, arrived)
+func (pc patientCodec) Request(ctx *fasthttp.RequestCtx, body []byte, arrived time.Time) *dispatch.Request {
+	re := pc.testCodec.Request(ctx, body, arrived)
 	re.CallerTimeout = time.Minute
 	return re
 }
