gateway: the listeners limit connections, heads and pauses in bodies

Clients whose heads stopped one line short, thousands at once, took more memory than the process has; an accept without a free descriptor ended the process.

Cause: nothing bounded the connections of callers, readiness, metrics and forwards, nor the time of a head before a configuration is known; the HTTP library takes a failed accept for permanent. Change: each listener has an intake limiter. Callers may take a sixth of the memory and half of the descriptors, forwards a twenty-fourth and an eighth, readiness and metrics 64 connections each. A head may take twice header_timeout_ms, a minute while no configuration is known; a body any time while bytes arrive. Closed connections are counted by listener and cause, and logged once in 10 s at most.

Measured: TestRunGoesOnWithoutDescriptors fails on the code before (Run ends) and passes.

--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -38,8 +38,9 @@
 		return nil
 	}
 	gw.forwards = &ingress.Server{
-		Listener: li.forwards, Codec: forwardedCodec{gw.Adapter.Codec}, Dispatcher: di, Hangups: hangups, Clock: gw.Clock, Log: gw.Log, IDHeader: gw.Adapter.IDHeader, Memory: gw.memory.bodies, MaxBodyBytes: gw.memory.maxBody, MaxInFlight: maxForwarded,
+		Listener: li.forwards, Codec: forwardedCodec{gw.Adapter.Codec}, Dispatcher: di, Hangups: hangups, Clock: gw.Clock, Log: gw.Log, IDHeader: gw.Adapter.IDHeader, Memory: gw.memory.bodies, MaxBodyBytes: gw.memory.maxBody, ConfiguredBodyBytes: gw.bodyBytes, MaxInFlight: maxForwarded,
 	}
+	gw.forwards.Intake = gw.newIntake("forwards", gw.memory.forwards, gw.Settings.maxFiles()/forwardsFilesDivisor)
 	gw.forwards.Prepare()
 	return []controller.Controller{gw.forwards}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -257,7 +257,8 @@
 	if gw.rollouts != nil {
 		di.Rollouts = gw.rollouts
 	}
-	gw.ingress = ingress.Server{Listener: li.callers, Codec: gw.Adapter.Codec, Dispatcher: di, Hangups: hangups, Clock: gw.Clock, Log: gw.Log, Memory: gw.memory.bodies, MaxBodyBytes: gw.memory.maxBody}
+	gw.ingress = ingress.Server{Listener: li.callers, Codec: gw.Adapter.Codec, Dispatcher: di, Hangups: hangups, Clock: gw.Clock, Log: gw.Log, Memory: gw.memory.bodies, MaxBodyBytes: gw.memory.maxBody, ConfiguredBodyBytes: gw.bodyBytes}
+	gw.ingress.Intake = gw.newIntake("callers", gw.memory.callers, se.maxFiles()/callersFilesDivisor)
 	if se.SlowCallers {
 		gw.ingress.ReadAhead = gw.memory.readAhead
 	}
@@ -266,12 +267,12 @@
 	controllers := []controller.Controller{
 		&gw.paths, hangups, &gw.ingress, &expirer{gw: gw},
 		&healthcheck.Checker{Engines: engines, Runs: mover.Endpoints, StoreStale: gw.engineStatesStale, Path: gw.healthPath, Leave: gw.roster.Leave, Evacuate: mover.Evacuate, Clock: gw.Clock, Log: gw.Log},
-		&auxiliaryServer{name: "readiness", listener: li.readiness, handler: gw.serveReady},
+		&auxiliaryServer{name: "readiness", listener: gw.listenAuxiliary("readiness", li.readiness), handler: gw.serveReady},
 	}
 	controllers = append(controllers, zones...)
 	if li.metrics != nil {
 		metrics := fasthttpadaptor.NewFastHTTPHandler(gw.metrics.Handler)
-		controllers = append(controllers, &auxiliaryServer{name: "metrics", listener: li.metrics, handler: metrics})
+		controllers = append(controllers, &auxiliaryServer{name: "metrics", listener: gw.listenAuxiliary("metrics", li.metrics), handler: metrics})
 	}
 	if gw.rollouts != nil {
 		controllers = append(controllers, gw.rollouts)
--- a/internal/gateway/memory.go
+++ b/internal/gateway/memory.go
@@ -12,10 +12,17 @@
 	// does not grow with what others send, and for the garbage collector.
 	bodiesDivisor    = 4
 	readAheadDivisor = 8
+	// callersDivisor and forwardsDivisor divide the memory of the process to get the limits
+	// for the connections of callers, and of instances that forward requests.
+	callersDivisor  = 6
+	forwardsDivisor = 24
 	// maxBodyDivisor divides the limit for bodies to get that for the body of one request.
 	maxBodyDivisor = 2
 	// defaultBodyBytes is the limit for bodies if the memory of the process is not known.
 	defaultBodyBytes = 48 << 20
+	// defaultMemoryBytes is the memory by which connections are limited if that of the
+	// process is not known.
+	defaultMemoryBytes = 512 << 20
 	// heapShare is the share of the memory of the process above which the garbage
 	// collector runs more often instead of letting the heap double.
 	heapShare = 0.7
@@ -27,6 +34,9 @@
 	readAhead *readahead.Budget
 	// maxBody limits the body of one request.
 	maxBody int
+	// callers and forwards limit the connections of callers, and of instances that forward
+	// requests, in bytes.
+	callers, forwards int64
 }
 
 // divideMemory divides the memory of the process, in bytes.
@@ -35,7 +45,12 @@
 	if total > 0 {
 		bodies, readAhead = total/bodiesDivisor, min(total/readAheadDivisor, readAhead)
 	}
+	connections := int64(defaultMemoryBytes)
+	if total > 0 {
+		connections = total
+	}
 	return memory{
+		callers: connections / callersDivisor, forwards: connections / forwardsDivisor,
 		bodies: &buffer.Budget{Bytes: bodies}, readAhead: &readahead.Budget{Bytes: int(readAhead)},
 		maxBody: int(min(bodies/maxBodyDivisor, ingress.DefaultMaxBodyBytes)),
 	}
--- a/internal/gateway/readiness.go
+++ b/internal/gateway/readiness.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"filbertstall.example/filbertstall/internal/dispatch"
+	"filbertstall.example/filbertstall/internal/intake"
 	"filbertstall.example/filbertstall/internal/roster"
 	"filbertstall.example/filbertstall/internal/routing"
 	"filbertstall.example/filbertstall/internal/writetimeout"
@@ -53,15 +54,31 @@
 	handler  fasthttp.RequestHandler
 }
 
+const (
+	// auxiliaryBodyBytes limits the body of a request, which is not used.
+	auxiliaryBodyBytes = 4 << 10
+	// auxiliaryIdleTimeout is how long a connection without requests stays open.
+	auxiliaryIdleTimeout = 75 * time.Second
+)
+
 // Name implements controller.Controller.
 func (as *auxiliaryServer) Name() string { return as.name }
 
+// serve answers one request.
+func (as *auxiliaryServer) serve(ctx *fasthttp.RequestCtx) {
+	intake.Served(ctx.Conn())
+	as.handler(ctx)
+}
+
 // Run implements controller.Controller.
 func (as *auxiliaryServer) Run(ctx context.Context) error {
-	se := fasthttp.Server{Handler: as.handler, NoDefaultServerHeader: true, Logger: writetimeout.QuietLogger{}}
+	se := fasthttp.Server{
+		Handler: as.serve, NoDefaultServerHeader: true, MaxRequestBodySize: auxiliaryBodyBytes, IdleTimeout: auxiliaryIdleTimeout,
+		ReduceMemoryUsage: true, Logger: writetimeout.QuietLogger{},
+	}
 	stop := context.AfterFunc(ctx, func() { _ = as.listener.Close() })
 	defer stop()
-	err := se.Serve(as.listener)
+	err := se.Serve(writetimeout.Listener{Listener: as.listener, Timeout: writetimeout.DefaultTimeout})
 	if ctx.Err() != nil {
 		return nil
 	}
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -33,6 +33,9 @@
 	// MemoryBytes is the memory that the process may use. Zero means that it is not
 	// known.
 	MemoryBytes int64
+	// MaxFiles is the number of descriptors that the process may have open. Zero means that
+	// it is not known.
+	MaxFiles int
 	// Store is the address of the platform's store.
 	Store string
 	// KeyRevocationBound is the longest time for which an instance may still
--- a/internal/routing/configuration.go
+++ b/internal/routing/configuration.go
@@ -111,9 +111,9 @@
 	HasPriority bool
 }
 
-// Limits holds the configured limits for incoming requests. Only BodyBytes is
-// enforced, by package dispatch; zero means no limit. Package ingress has fixed
-// limits in place of the others.
+// Limits holds the configured limits for incoming requests. BodyBytes is enforced by
+// packages ingress and dispatch, HeaderTimeout by package intake; zero means no limit.
+// Package ingress has fixed limits in place of the others.
 type Limits struct {
 	HeaderBytes   int
 	BodyBytes     int
