--- a/internal/gateway/memory.go
+++ b/internal/gateway/memory.go
@@ -16,8 +16,9 @@
 	// for the connections of callers, and of instances that forward requests.
 	callersDivisor  = 6
 	forwardsDivisor = 24
-	// maxBodyDivisor divides the limit for bodies to get that for the body of one request.
-	maxBodyDivisor = 2
+	// maxBodyDivisor divides the limit for bodies to get that for the body of one request,
+	// which is copied once.
+	maxBodyDivisor = 3
 	// defaultBodyBytes is the limit for bodies if the memory of the process is not known.
 	defaultBodyBytes = 48 << 20
 	// defaultMemoryBytes is the memory by which connections are limited if that of the
