upstream: an answer with very many header fields is no answer

Callers saw: with 384 streams at endpoints whose heads fill the read buffer with the shortest fields, an instance of 112 MB took 187 MB; its machine kills it, with all requests in flight.

Cause: a head is bounded in bytes (16 KB), but its fields take many times that in memory, and a stream keeps them until it ends. Nothing counted them.

A call whose answer has more than 256 fields is lost. Reports, health checks, moves, frees, bookings, streams and forwards share this place.

--- a/internal/upstream/answer.go
+++ b/internal/upstream/answer.go
@@ -39,6 +39,24 @@
 	closeDelimitedLength = -2
 )
 
+// maxAnswerFields is the maximum number of header fields of an answer. They take many times
+// their size on the wire, for as long as the answer is read. A call whose answer has more is
+// lost.
+const maxAnswerFields = 256
+
+var errTooManyFields = errors.New("the answer has too many header fields")
+
+// readHead reads the head of an answer.
+func readHead(rd *bufio.Reader, head *fasthttp.ResponseHeader) error {
+	if err := head.Read(rd); err != nil {
+		return err
+	}
+	if head.Len() > maxAnswerFields {
+		return errTooManyFields
+	}
+	return nil
+}
+
 // Get returns the first value of a header field, or an empty string. The name is
 // not case-sensitive.
 func (an *Answer) Get(name string) string {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -102,7 +102,7 @@
 	}
 	for range maxStaleAnswers + 1 {
 		var head fasthttp.ResponseHeader
-		if err := head.Read(cn.rd); err != nil {
+		if err := readHead(cn.rd, &head); err != nil {
 			return nil, err
 		}
 		if head.StatusCode() < 200 {
