peer: the answer of another instance has a limit

What something at the address of an instance sends is decoded by gob, which accepts messages of 1 GB and more: a message that announces such a length was kept until the call timed out, after 2 s.

The codec of the client reads at most 8 MB for one answer. Beyond it, the connection is closed and its calls are lost, as on any other error.

--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -143,7 +143,7 @@
 	if cl.conns == nil {
 		cl.conns = make(map[string]*rpc.Client)
 	}
-	rc = rpc.NewClient(conn)
+	rc = rpc.NewClientWithCodec(newCodec(conn))
 	cl.conns[address] = rc
 	return rc, nil
 }
