endpoint: a stream without events ends

A stream that carries lines but no event, such as empty lines without end, was read for as long as the engine sent it: no bound in bytes, and the idle timeout never passes. It costs no memory, but a core, until the caller leaves.

The lines before the data of one event may have 64 KB. Beyond it, the stream fails.

TestCallersGiveUpOnAnswersWithoutEnd, row "empty events" of generations and resumed generations, 32 MB allowed: 134 MB read before (where the stand-in stops), under 32 MB now. The other 20 ways passed before.

--- a/internal/endpoint/stream.go
+++ b/internal/endpoint/stream.go
@@ -13,6 +13,9 @@
 // streamBufferBytes is the buffer size and thus the longest line of an event.
 const streamBufferBytes = 4096
 
+// maxEventBytes limits the lines before the data of an event. Beyond it, the stream fails.
+const maxEventBytes = 64 << 10
+
 var readerPool = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, streamBufferBytes) }}
 
 // Stream reads the events of one generation. It verifies that each event belongs
@@ -65,17 +68,18 @@
 // returns io.EOF. An error of kind Lost or TimedOut means that the stream
 // ended before the last event, one of kind Mismatched that an event belongs to
 // another generation or has the wrong offset, and one of kind Failed that a
-// line is longer than streamBufferBytes.
+// line is longer than streamBufferBytes, or an event than maxEventBytes.
 func (st *Stream) Next(ev *Event) error {
 	if st.done {
 		return io.EOF
 	}
 	*ev = Event{Offset: -1}
-	for {
+	for size := 0; size <= maxEventBytes; {
 		line, err := st.rd.ReadSlice('\n')
 		if err != nil {
 			return st.readError(err)
 		}
+		size += len(line)
 		line = bytes.TrimRight(line, "\r\n")
 		switch {
 		case len(line) > 0 && line[0] == ':':
@@ -89,8 +93,11 @@
 			return st.accept(ev, line[len(dataField):])
 		}
 	}
+	return &Error{Op: "stream", URL: st.url, Kind: Failed, Err: errEventTooLong}
 }
 
+var errEventTooLong = errors.New("the event is too long")
+
 func (st *Stream) accept(ev *Event, data []byte) error {
 	if bytes.Equal(data, doneData) {
 		st.done = true
