endpoint: answers that arrive share a memory budget

Each answer to a call of the own interface may have 8 MB, and nothing bounded them together: 24 calls at one endpoint whose answers stop one byte short of their end held 200 MB until their timeout, 10 minutes by default. Chunks of one byte, and chunk extensions, were read far beyond 8 MB.

Bodies are received into buffers of one budget, 48 MB by default, where the largest fail first. An answer may take 16 MB on the wire, framing included (package readlimit).

Not bounded together: answers that are whole and wait for their caller.

--- a/internal/buffer/buffer.go
+++ b/internal/buffer/buffer.go
@@ -103,6 +103,18 @@
 	}
 }
 
+// Bytes returns a copy of the body.
+func (bf *Buffer) Bytes() []byte {
+	data := make([]byte, 0, bf.Len())
+	if bf == nil {
+		return data
+	}
+	for _, chunk := range bf.chunks {
+		data = append(data, chunk...)
+	}
+	return data
+}
+
 // Free gives the memory back. The buffer is empty afterwards.
 func (bf *Buffer) Free() {
 	if bf == nil {
--- a/internal/buffer/buffer_test.go
+++ b/internal/buffer/buffer_test.go
@@ -49,9 +49,11 @@
 			if len(held) > 0 && rapid.Bool().Draw(rt, "freed") {
 				rd := held[0].Reader()
 				want := held[0].Len()
+				copied := held[0].Bytes()
 				data, err := io.ReadAll(rd)
 				g.Expect(err).NotTo(HaveOccurred())
 				g.Expect(data).To(HaveLen(want))
+				g.Expect(copied).To(Equal(data))
 				g.Expect(rd.Close()).To(Succeed())
 				g.Expect(rd.Close()).To(Succeed(), "a second time")
 				held = held[1:]
--- a/internal/endpoint/client.go
+++ b/internal/endpoint/client.go
@@ -11,6 +11,9 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"filbertstall.example/filbertstall/internal/buffer"
+	"filbertstall.example/filbertstall/internal/readlimit"
 )
 
 const (
@@ -29,6 +32,9 @@
 	IdleTimeout time.Duration
 	// Dial opens connections. Nil means TCP.
 	Dial func(address string) (net.Conn, error)
+	// Memory limits the answers that are being received, except those of streams. Nil
+	// means defaultMemoryBytes.
+	Memory *buffer.Budget
 
 	once   sync.Once
 	pooled *fasthttp.Client
@@ -41,11 +47,14 @@
 		if cl.Dial == nil {
 			cl.Dial = dial
 		}
+		if cl.Memory == nil {
+			cl.Memory = &buffer.Budget{Bytes: defaultMemoryBytes}
+		}
 		neverRetry := func(*fasthttp.Request, int, error) (resetTimeout, retry bool) { return false, false }
 		newClient := func() *fasthttp.Client {
 			return &fasthttp.Client{
 				RetryIfErr: neverRetry, NoDefaultUserAgentHeader: true, MaxConnsPerHost: maxConnsPerEndpoint,
-				MaxResponseBodySize: maxCallAnswerBytes, Dial: cl.Dial, MaxIdemponentCallAttempts: 1,
+				StreamResponseBody: true, Dial: cl.dialLimited, MaxIdemponentCallAttempts: 1,
 				DisablePathNormalizing: true,
 			}
 		}
@@ -56,12 +65,44 @@
 const (
 	maxConnsPerEndpoint = 4096
 	maxCallAnswerBytes  = 8 << 20
+	// maxWireBytes limits an answer with its framing. Beyond it, the call fails.
+	maxWireBytes = 2 * maxCallAnswerBytes
+	// defaultMemoryBytes is the usual limit for all answers that are being received.
+	// Beyond it, calls with the largest answers fail.
+	defaultMemoryBytes = 48 << 20
 )
 
 func dial(address string) (net.Conn, error) {
 	return net.DialTimeout("tcp", address, dialTimeout)
 }
 
+// dialLimited opens a connection for calls.
+func (cl *Client) dialLimited(address string) (net.Conn, error) {
+	conn, err := cl.Dial(address)
+	if err != nil {
+		return nil, err
+	}
+	return &readlimit.Conn{Conn: conn, Bytes: maxWireBytes}, nil
+}
+
+// do sends a request and receives the whole answer. It returns the body.
+func (cl *Client) do(client *fasthttp.Client, req *fasthttp.Request, resp *fasthttp.Response, timeout time.Duration) ([]byte, error) {
+	if err := client.DoTimeout(req, resp, timeout); err != nil {
+		return nil, err
+	}
+	stream := resp.BodyStream()
+	if stream == nil {
+		return nil, nil
+	}
+	body := buffer.New(cl.Memory)
+	defer body.Free()
+	err := body.Fill(stream, maxCallAnswerBytes)
+	if err := errors.Join(err, resp.CloseBodyStream()); err != nil {
+		return nil, err
+	}
+	return body.Bytes(), nil
+}
+
 // Generate starts a generation, or joins it if its ID is already running at the
 // endpoint.
 func (cl *Client) Generate(url string, ge Generation) (*Stream, error) {
@@ -104,7 +145,7 @@
 	req.Header.SetMethod(http.MethodDelete)
 	req.SetRequestURI(url + "/v1/generations/" + id)
 	req.Header.Set(UnreadHeader, "true")
-	if err := cl.pooled.DoTimeout(req, resp, defaultTimeout); err != nil {
+	if _, err := cl.do(cl.pooled, req, resp, defaultTimeout); err != nil {
 		return classify("cancel", url, err)
 	}
 	return checkStatus("cancel", url, resp.StatusCode())
@@ -151,7 +192,8 @@
 		req.Header.Set(FencingHeader, strconv.FormatInt(fencing, 10))
 		timeout = orderTimeout
 	}
-	if err := cl.pooled.DoTimeout(req, resp, timeout); err != nil {
+	answer, err := cl.do(cl.pooled, req, resp, timeout)
+	if err != nil {
 		return classify(op, url, err)
 	}
 	if err := checkStatus(op, url, resp.StatusCode()); err != nil {
@@ -160,7 +202,7 @@
 	if into == nil {
 		return nil
 	}
-	if err := json.Unmarshal(resp.Body(), into); err != nil {
+	if err := json.Unmarshal(answer, into); err != nil {
 		return &Error{Op: op, URL: url, Kind: Failed, Err: err}
 	}
 	return nil
@@ -190,14 +232,15 @@
 		client = cl.unpooled
 		req.SetConnectionClose()
 	}
-	if err := client.DoTimeout(req, resp, re.Timeout); err != nil {
+	body, err := cl.do(client, req, resp, re.Timeout)
+	if err != nil {
 		return Response{}, classify("call", url, err)
 	}
 	resp.Header.SetNoDefaultContentType(true)
 	an := Response{
 		Status:      resp.StatusCode(),
 		ContentType: string(resp.Header.ContentType()),
-		Body:        append([]byte(nil), resp.Body()...),
+		Body:        body,
 	}
 	for name, value := range resp.Header.All() {
 		an.Headers = append(an.Headers, Header{Name: string(name), Value: string(value)})
