--- a/internal/buffer/buffer.go
+++ b/internal/buffer/buffer.go
@@ -121,12 +121,24 @@
 	return nil
 }
 
-// Bytes returns the body of a joined buffer. It is valid until the buffer is freed.
-func (bf *Buffer) Bytes() []byte {
+// Joined returns the body of a joined buffer. It is valid until the buffer is freed.
+func (bf *Buffer) Joined() []byte {
 	data, _ := bf.Small()
 	return data
 }
 
+// Bytes returns a copy of the body.
+func (bf *Buffer) Bytes() []byte {
+	data := make([]byte, 0, bf.Len())
+	if bf == nil {
+		return data
+	}
+	for _, chunk := range bf.chunks {
+		data = append(data, chunk...)
+	}
+	return data
+}
+
 // Free gives the memory back. The buffer is empty afterwards.
 func (bf *Buffer) Free() {
 	if bf == nil {
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -182,7 +182,7 @@
 		return
 	}
 	intake.Served(ctx.Conn())
-	re, er := se.decode(ctx, body.Bytes())
+	re, er := se.decode(ctx, body.Joined())
 	if er != nil {
 		body.Free()
 		se.inFlight.Add(-1)
