platform: tests of crowds of clients, which fail

Cause: clients that the operator does not control made a process run out of memory. Memory is taken from the budget only after a body was read; the readiness check, the metrics and the calls between instances have no common limit at all; and a listener that cannot accept a connection for want of descriptors ends its controller, and with it the process.

Change: tests only. Each row opens a crowd at one listener of one gateway process of its own: callers, readiness check, metrics, calls between instances, forwarded requests, and an instance without a configuration. While the connections are open, the process must live, keep its resident anonymous memory under memory_mb (88, that of the smallest machines) and its descriptors within max_fds less the 200 that are reserved for files (4100, and 1000 for rows of 1,200 connections; the process is started with this ulimit), and answer one ordinary booking. Two rows in calm: a body that takes longer than header_timeout_ms and a head within it are answered with 200. The rows run with `make crowd`, which `make test` runs last; without the flag they are skipped.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BIN := bin
 LINT := cd tools && go build -o ../$(BIN)/golangci-lint github.com/golangci/golangci-lint/v2/cmd/golangci-lint
 
-.PHONY: all build demo up test smoke soak soak-own lint format bench regression clean
+.PHONY: all build demo up test crowd smoke soak soak-own lint format bench regression clean
 
 all: build
 
@@ -17,6 +17,12 @@
 
 test:
 	go test -race ./...
+	$(MAKE) crowd
+
+# Opens crowds of clients that do not behave at the listeners of gateway processes. It
+# measures memory, so that it runs without the race detector and apart from other load.
+crowd:
+	go test ./platform -run TestCrowd -crowd -count=1 -timeout 10m
 
 smoke: build
 	$(BIN)/filbertbench smoke --bin $(BIN) --known-red KNOWN-RED.txt
