setting: limits.memory_mb, the memory of an instance of serve

Nothing told an instance how much memory its machine has. The optional setting sets the soft limit of the Go runtime, as it does for the gateway. Tests of crowds need it to state their bound.

Run: go test ./internal/setting ./internal/command

--- a/internal/command/serve.go
+++ b/internal/command/serve.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"os"
+	"runtime/debug"
 
 	"github.com/jonboulle/clockwork"
 	"github.com/rs/zerolog"
@@ -31,6 +32,9 @@
 	if err != nil {
 		return commandError{err}
 	}
+	if limit := settings.Limits.HeapLimit(); limit > 0 {
+		debug.SetMemoryLimit(limit)
+	}
 	log := zerolog.New(se.err).Level(level).With().Timestamp().Str("instance", settings.Name).Logger()
 	go logReloads(reloads, log)
 	da := &daemon.Daemon{
--- a/internal/setting/setting.go
+++ b/internal/setting/setting.go
@@ -77,6 +77,9 @@
 
 // Limits holds the limits and timeouts of one instance.
 type Limits struct {
+	// MemoryMB is the memory that the process may use, in megabytes (2^20 bytes). Zero
+	// means that it is not known.
+	MemoryMB int `json:"memory_mb"`
 	// BodyBytes is the maximum size of a request body.
 	BodyBytes int `json:"body_bytes"`
 	// Timeout applies to requests that state none.
@@ -96,6 +99,18 @@
 	StopTimeout Duration `json:"stop_timeout"`
 }
 
+// heapShare is the share of the memory of the process above which the garbage
+// collector runs more often instead of letting the heap double.
+const heapShare = 0.7
+
+// MemoryBytes returns the memory that the process may use, in bytes, or 0 if it is not
+// known.
+func (li Limits) MemoryBytes() int64 { return int64(li.MemoryMB) << 20 }
+
+// HeapLimit returns the memory that the Go runtime may use, in bytes, or 0 if the memory
+// of the process is not known.
+func (li Limits) HeapLimit() int64 { return int64(heapShare * float64(li.MemoryBytes())) }
+
 // Duration is a time.Duration that is encoded as text, for example "1m30s".
 type Duration time.Duration
 
@@ -117,6 +132,8 @@
 	defaultStopTimeout = 30 * time.Second
 	defaultRetention   = 24 * time.Hour
 	maxFlushDelay      = Duration(time.Second)
+	// minMemoryMB is the smallest memory of a process that an instance runs in.
+	minMemoryMB = 64
 )
 
 var logLevels = []string{"debug", "info", "warn", "error"}
@@ -159,6 +176,7 @@
 		{"zone", se.Zone != "", "must name the availability zone of this instance"},
 		{"platform.url", urlErr == nil && platform.Host != "", `must be like "http://10.0.0.1:7000"`},
 		{"resume_key", keyErr == nil && len(key) == 32, "must be 64 hex digits, the same on all instances"},
+		{"limits.memory_mb", se.Limits.MemoryMB == 0 || se.Limits.MemoryMB >= minMemoryMB, "must be 0 or at least 64"},
 		{"limits.body_bytes", se.Limits.BodyBytes >= 1024 && se.Limits.BodyBytes <= 64<<20, "allowed are 1024 to 67108864"},
 		{"limits.timeout", se.Limits.Timeout > 0 && se.Limits.Timeout <= se.Limits.MaxTimeout, "must be above 0s and at most limits.max_timeout"},
 		{"limits.max_timeout", se.Limits.MaxTimeout > 0, "must be above 0s"},
--- a/internal/setting/setting_test.go
+++ b/internal/setting/setting_test.go
@@ -49,6 +49,7 @@
 		Entry("short key", `000102`, ``, `f:9: resume_key: must be 64 hex digits`),
 		Entry("listener without TLS and without allow_plaintext", `true`, `false`, `f:5: caller.tls: needs cert_file`),
 		Entry("bad duration", `"allow_plaintext"`, `"limits": {"timeout": 5}, "allow_plaintext"`, `f:10: limits.timeout: must be a duration`),
+		Entry("too little memory", `"allow_plaintext"`, `"limits": {"memory_mb": 63}, "allow_plaintext"`, `f:10: limits.memory_mb: must be 0 or at least 64`),
 		Entry("syntax", `"zone":`, `"zone"`, `f:4: syntax:`),
 		Entry("not an object", valid, `[]`, `f:1: settings: must be an object`),
 	)
