buffer: the copy of a body needs only memory that is free

A body that was read to its end was refused with 429 although it was alone: Join asked the dynamic threshold for the body and its copy together, so that one alone could have a quarter of the budget and not half. In a process with limits.memory_mb 64 a chunked body of 4 MB, the default of limits.body_bytes, found no room. The copy lasts for a moment, and may now take all that is free.

Test: buffer.TestBodyOfHalfTheBudgetCanBeJoined (new; written with the change, not run without it). Run: go test -race ./internal/buffer.

--- a/internal/buffer/budget.go
+++ b/internal/buffer/budget.go
@@ -28,6 +28,15 @@
 	}
 }
 
+// takeFree takes more bytes if they are free.
+func (bu *Budget) takeFree(more int64) bool {
+	if bu.used.Add(more) <= bu.Bytes {
+		return true
+	}
+	bu.used.Add(-more)
+	return false
+}
+
 // Share is the part of a budget that belongs to one body. The zero value has no budget
 // and no bound. Only one goroutine may use it.
 type Share struct {
@@ -49,3 +58,13 @@
 	sh.held = size
 	return true
 }
+
+// grow makes the share larger for a short time. In contrast to Resize, it may take all that
+// is free.
+func (sh *Share) grow(more int64) bool {
+	if sh.Budget != nil && !sh.Budget.takeFree(more) {
+		return false
+	}
+	sh.held += more
+	return true
+}
--- a/internal/buffer/buffer.go
+++ b/internal/buffer/buffer.go
@@ -109,7 +109,7 @@
 	if len(bf.chunks) < 2 {
 		return nil
 	}
-	if !bf.share.Resize(int64(bf.capacity + bf.size - firstChunkBytes)) {
+	if !bf.share.grow(int64(bf.size)) {
 		return ErrFull
 	}
 	whole := make([]byte, 0, bf.size)
--- a/internal/buffer/buffer_test.go
+++ b/internal/buffer/buffer_test.go
@@ -107,3 +107,17 @@
 	g.Expect(bu.Used()).To(BeZero())
 	g.Expect(bf.Len()).To(BeZero())
 }
+
+// A body alone that fitted into the budget was refused because its copy did not.
+func TestBodyOfHalfTheBudgetCanBeJoined(t *testing.T) {
+	g := NewWithT(t)
+	bu := &Budget{Bytes: 16 << 20}
+	bf := New(bu)
+	body := io.MultiReader(io.LimitReader(endless{}, 8<<20-maxChunkBytes), bytes.NewReader(nil))
+	g.Expect(bf.Fill(body, 8<<20)).To(Succeed())
+	g.Expect(bf.Join()).To(Succeed())
+	g.Expect(bf.Bytes()).To(HaveLen(8<<20 - maxChunkBytes))
+	g.Expect(bu.Used()).To(BeNumerically("<=", 8<<20))
+	bf.Free()
+	g.Expect(bu.Used()).To(BeZero())
+}
