intake: the counter of closed connections serves every part

The gateway's counter and its one log line a listener in 10 s are needed by serve as well. intake.Closed is the same with a name of the part, and takes other causes than the Limiter's.

--- a/internal/gateway/intake.go
+++ b/internal/gateway/intake.go
@@ -3,12 +3,8 @@
 import (
 	"math"
 	"net"
-	"sync"
 	"time"
 
-	"github.com/jonboulle/clockwork"
-	"github.com/rs/zerolog"
-	"github.com/uber-go/tally/v4"
 	"golang.org/x/sys/unix"
 
 	"filbertstall.example/filbertstall/internal/intake"
@@ -37,9 +33,6 @@
 	// arrive later than they are sent.
 	defaultHeadTimeout = time.Minute
 	headTimeoutFactor  = 2
-	// closedLogInterval is the shortest time between two log lines about closed connections
-	// of one listener.
-	closedLogInterval = 10 * time.Second
 )
 
 // headTimeout returns the time from the first byte of a request within which its head must
@@ -75,9 +68,9 @@
 
 // newIntake returns the limits of the connections of a listener.
 func (gw *Gateway) newIntake(listener string, bytes int64, files int) *intake.Limiter {
-	cc := &closedConnections{listener: listener, clock: gw.Clock, log: gw.Log, scope: gw.metrics.Scope.Tagged(map[string]string{"listener": listener})}
+	closed := &intake.Closed{Listener: listener, Part: "gateway", Clock: gw.Clock, Log: gw.Log, Scope: gw.metrics.Scope}
 	return &intake.Limiter{
-		Bytes: bytes, ActiveBytes: connectionBytes, Conns: files, SilentTimeout: silentTimeout, HeadTimeout: gw.headTimeout, BodyTimeout: bodyTimeout, OnClose: cc.count,
+		Bytes: bytes, ActiveBytes: connectionBytes, Conns: files, SilentTimeout: silentTimeout, HeadTimeout: gw.headTimeout, BodyTimeout: bodyTimeout, OnClose: closed.CountCause,
 	}
 }
 
@@ -88,47 +81,3 @@
 	li.ActiveBytes = auxiliaryConnectionBytes
 	return li.Listen(ln)
 }
-
-// closedConnections counts the connections of a listener that were closed before they
-// brought a whole request, and logs them together.
-type closedConnections struct {
-	listener string
-	clock    clockwork.Clock
-	log      zerolog.Logger
-	scope    tally.Scope
-
-	mu      sync.Mutex
-	counts  map[intake.Cause]int
-	logged  time.Time
-	waiting bool
-}
-
-// count counts a connection. A line is logged at once if there was none for
-// closedLogInterval, and else at its end.
-func (cc *closedConnections) count(ca intake.Cause) {
-	cc.scope.Tagged(map[string]string{"cause": string(ca)}).Counter("connections_closed").Inc(1)
-	cc.mu.Lock()
-	defer cc.mu.Unlock()
-	if cc.counts == nil {
-		cc.counts = make(map[intake.Cause]int)
-	}
-	cc.counts[ca]++
-	if cc.waiting {
-		return
-	}
-	cc.waiting = true
-	cc.clock.AfterFunc(max(closedLogInterval-cc.clock.Since(cc.logged), 0), cc.write)
-}
-
-func (cc *closedConnections) write() {
-	cc.mu.Lock()
-	defer cc.mu.Unlock()
-	line := cc.log.Warn().Str("event", "connections_closed").Str("listener", cc.listener)
-	for _, ca := range intake.Causes() {
-		if count := cc.counts[ca]; count > 0 {
-			line = line.Int(string(ca), count)
-		}
-	}
-	line.Msg("gateway: closed connections that brought no whole request, or were not accepted")
-	cc.counts, cc.logged, cc.waiting = nil, cc.clock.Now(), false
-}
