intake: a TLS connection counts its handshake before its first byte

A limited listener counts a connection as silent until the first byte of a request. Below TLS, a handshake that stops short of its end has taken buffers by then. Limiter.SilentBytes says how much; zero means 8 KiB as before.

Run: go test -race ./internal/intake.

--- a/internal/intake/limiter.go
+++ b/internal/intake/limiter.go
@@ -1,6 +1,7 @@
 package intake
 
 import (
+	"cmp"
 	"container/list"
 	"sync"
 	"time"
@@ -28,8 +29,8 @@
 // Causes returns all causes.
 func Causes() []Cause { return []Cause{HeadTimeout, BodyTimeout, Displaced, Full, NoDescriptor} }
 
-// silentBytes is the memory of a connection on which nothing has arrived yet.
-const silentBytes = 8 << 10
+// defaultSilentBytes is the memory of a connection on which nothing has arrived yet.
+const defaultSilentBytes = 8 << 10
 
 // Limiter limits the connections of its listeners. Set the exported fields before Listen. It
 // is safe for concurrent use.
@@ -40,6 +41,9 @@
 	// ActiveBytes is the memory of a connection from its first byte on: the buffers of the
 	// server and the stack of its goroutine.
 	ActiveBytes int64
+	// SilentBytes is the memory of a connection before its first byte. A TLS listener has
+	// done the handshake, or a part of it, by then. Zero means 8 KiB.
+	SilentBytes int64
 	// Conns limits the open connections. Zero means that there is no limit.
 	Conns int
 	// SilentTimeout is the longest time for which a new connection may be silent. Zero means
@@ -73,7 +77,7 @@
 func (li *Limiter) admit(cn *Conn) bool {
 	li.mu.Lock()
 	li.conns++
-	cn.bytes = silentBytes
+	cn.bytes = cmp.Or(li.SilentBytes, defaultSilentBytes)
 	li.used += cn.bytes
 	cn.waiting, cn.element = &li.fresh, li.fresh.PushBack(cn)
 	victims, enough := li.makeRoom(cn)
--- a/internal/intake/limiter_test.go
+++ b/internal/intake/limiter_test.go
@@ -97,7 +97,7 @@
 // Heads that arrive took memory without a limit.
 func TestMemoryOfHeads(t *testing.T) {
 	g := NewWithT(t)
-	li := &Limiter{Bytes: 3 * silentBytes, ActiveBytes: 2 * silentBytes}
+	li := &Limiter{Bytes: 3 * defaultSilentBytes, ActiveBytes: 2 * defaultSilentBytes}
 	ln := listen(t, li)
 	first, firstClient := pair(t, ln)
 	second, secondClient := pair(t, ln)
