--- a/internal/daemon/crowd_test.go
+++ b/internal/daemon/crowd_test.go
@@ -66,15 +66,20 @@
 	peak, descriptors atomic.Int64
 }
 
+func buildProgram(t *testing.T) string {
+	t.Helper()
+	program := filepath.Join(t.TempDir(), "filbertstall")
+	out, err := exec.Command("go", "build", "-o", program, "../../cmd/filbertstall").CombinedOutput()
+	NewWithT(t).Expect(err).NotTo(HaveOccurred(), string(out))
+	return program
+}
+
 // startServed starts a process with a platform and an endpoint that run in the test,
 // and waits until it answers.
-func startServed(t *testing.T, descriptors int) *served {
+func startServed(t *testing.T, program string, descriptors int) *served {
 	t.Helper()
 	gm := NewWithT(t)
 	dir := t.TempDir()
-	program := filepath.Join(dir, "filbertstall")
-	out, err := exec.Command("go", "build", "-o", program, "../../cmd/filbertstall").CombinedOutput()
-	gm.Expect(err).NotTo(HaveOccurred(), string(out))
 	store, endpoint := listenLoopback(t), listenLoopback(t)
 	go func() { _ = standin.Serve(store, standin.NewPlatform(0)) }()
 	go func() { _ = fasthttp.Serve(endpoint, desk{}.serve) }()
@@ -215,10 +220,11 @@
 	if !*crowd {
 		t.Skip("run by make crowd, apart from other load")
 	}
+	program := buildProgram(t)
 	for _, cc := range cases {
 		t.Run(cc.name, func(t *testing.T) {
 			gm := NewWithT(t)
-			sd := startServed(t, cc.descriptors)
+			sd := startServed(t, program, cc.descriptors)
 			gm.Expect(sd.book(crowdBody)).To(Succeed(), "a request inside the limits, in calm")
 			done := make(chan struct{})
 			var watcher sync.WaitGroup
