--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -2,7 +2,8 @@
 //
 // net/rpc has no deadlines. Client sets one for each call and closes a
 // connection on which a call timed out, because the other side may not answer
-// any more.
+// any more. Server limits the memory and the time that messages and calls take, since
+// anyone who reaches its listener may send them.
 //
 // # Usage
 //
@@ -165,44 +166,3 @@
 	cl.mu.Unlock()
 	_ = rc.Close()
 }
-
-// Server serves the calls of other instances. Set Listener before Run.
-type Server struct {
-	// Listener accepts the connections. For mutual TLS it is a TLS listener.
-	Listener net.Listener
-
-	rpc rpc.Server
-}
-
-// Name implements controller.Controller.
-func (se *Server) Name() string { return "peer" }
-
-// Register publishes the methods of service under name.
-func (se *Server) Register(name string, service any) error {
-	return se.rpc.RegisterName(name, service)
-}
-
-// Recover turns a panic of a net/rpc method into its error. The method defers it with
-// its named result. net/rpc runs methods on goroutines of its own, so that a panic
-// would end the process.
-func Recover(err *error) {
-	if cause := recover(); cause != nil {
-		*err = fmt.Errorf("peer: panic: %v", cause)
-	}
-}
-
-// Run accepts connections until ctx ends.
-func (se *Server) Run(ctx context.Context) error {
-	stop := context.AfterFunc(ctx, func() { _ = se.Listener.Close() })
-	defer stop()
-	for {
-		conn, err := se.Listener.Accept()
-		if err != nil {
-			if ctx.Err() != nil {
-				return nil
-			}
-			return &Error{Op: "accept", Peer: se.Listener.Addr().String(), Kind: Unreachable, Err: err}
-		}
-		go se.rpc.ServeConn(conn)
-	}
-}
