daemon: the listeners of serve limit connections, heads and pauses

A crowd that only connects ended a process of serve: fasthttp and internal/peer take EMFILE for the end of their listener, and the controller group stops with it. Heads that stop a line short of their end stayed for ever, 16 KiB each; so did silent connections and, for operators, callers that don't read. The HTTP library logged the heads that it could not read, one line each, with the bearer token.

Connections that serve no request are closed for new ones, those that never brought one first.

--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -27,6 +27,7 @@
 	"filbertstall.example/filbertstall/internal/explain"
 	"filbertstall.example/filbertstall/internal/filter"
 	"filbertstall.example/filbertstall/internal/hangup"
+	"filbertstall.example/filbertstall/internal/intake"
 	"filbertstall.example/filbertstall/internal/metric"
 	"filbertstall.example/filbertstall/internal/refusal"
 	"filbertstall.example/filbertstall/internal/snapshot"
@@ -66,6 +67,9 @@
 	Log     zerolog.Logger
 	// BodyBytes is the maximum size of the body of a request.
 	BodyBytes int
+	// Intake limits the connections, and the time in which a request arrives. If it is nil,
+	// they have no limits.
+	Intake *intake.Limiter
 	// Timeout applies to requests without a Request-Timeout header. MaxTimeout is
 	// the maximum that the header may ask for.
 	Timeout    time.Duration
@@ -95,7 +99,11 @@
 	se.prepare()
 	stop := context.AfterFunc(ctx, func() { _ = se.Listener.Close() })
 	defer stop()
-	err := se.server.Serve(writetimeout.Listener{Listener: se.Listener, Timeout: se.WriteTimeout})
+	ln := se.Listener
+	if se.Intake != nil {
+		ln = se.Intake.Listen(ln)
+	}
+	err := se.server.Serve(writetimeout.Listener{Listener: ln, Timeout: se.WriteTimeout})
 	if ctx.Err() != nil || se.stopping.Load() {
 		return nil
 	}
@@ -120,7 +128,7 @@
 		Handler: se.serve, ErrorHandler: se.handleReadError, NoDefaultServerHeader: true, CloseOnShutdown: true,
 		MaxRequestBodySize: se.BodyBytes, ReadBufferSize: maxHeaderBytes, IdleTimeout: idleTimeout,
 		// Releases the read buffer of a connection while a stream is written to it.
-		ReduceMemoryUsage: true,
+		ReduceMemoryUsage: true, Logger: writetimeout.QuietLogger{},
 	}
 }
 
@@ -134,6 +142,7 @@
 }
 
 func (se *Server) serve(ctx *fasthttp.RequestCtx) {
+	intake.Served(ctx.Conn())
 	path := string(ctx.Path())
 	switch path {
 	case "/healthz":
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -16,14 +16,20 @@
 	"net"
 	"net/http"
 	"strings"
+	"time"
 
 	"github.com/valyala/fasthttp"
 
+	"filbertstall.example/filbertstall/internal/intake"
 	"filbertstall.example/filbertstall/internal/refusal"
 	"filbertstall.example/filbertstall/internal/snapshot"
+	"filbertstall.example/filbertstall/internal/writetimeout"
 	"filbertstall.example/filbertstall/pkg/kind"
 )
 
+// idleTimeout is how long a keep-alive connection without requests stays open.
+const idleTimeout = 2 * time.Minute
+
 // Server serves the operator API. Set the fields before Run.
 type Server struct {
 	Listener      net.Listener
@@ -37,6 +43,9 @@
 	// /status.
 	Instance string
 	Zone     string
+	// Intake limits the connections, and the time in which a request arrives. If it is nil,
+	// they have no limits.
+	Intake *intake.Limiter
 	// Routes are the other routes, keyed by method and path, such as "GET /fleet".
 	Routes map[string]Route
 
@@ -65,10 +74,17 @@
 
 // Run serves until ctx ends.
 func (se *Server) Run(ctx context.Context) error {
-	se.server = fasthttp.Server{Handler: se.serve, NoDefaultServerHeader: true}
+	se.server = fasthttp.Server{
+		Handler: se.serve, NoDefaultServerHeader: true, IdleTimeout: idleTimeout,
+		ReduceMemoryUsage: true, Logger: writetimeout.QuietLogger{},
+	}
 	stop := context.AfterFunc(ctx, func() { _ = se.Listener.Close() })
 	defer stop()
-	err := se.server.Serve(se.Listener)
+	ln := se.Listener
+	if se.Intake != nil {
+		ln = se.Intake.Listen(ln)
+	}
+	err := se.server.Serve(writetimeout.Listener{Listener: ln, Timeout: writetimeout.DefaultTimeout})
 	if ctx.Err() != nil {
 		return nil
 	}
@@ -76,6 +92,7 @@
 }
 
 func (se *Server) serve(ctx *fasthttp.RequestCtx) {
+	intake.Served(ctx.Conn())
 	switch string(ctx.Path()) {
 	case "/healthz":
 		ctx.SetBodyString("ok\n")
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -5,6 +5,8 @@
 	"encoding/gob"
 	"net/rpc"
 	"time"
+
+	"filbertstall.example/filbertstall/internal/intake"
 )
 
 // answerTimeout is the longest time that writing one answer may take. The caller has
@@ -38,6 +40,9 @@
 func (co *codec) ReadRequestBody(args any) error {
 	err := co.dec.Decode(args)
 	co.in.argumentRead()
+	if err == nil {
+		intake.Served(co.in.conn)
+	}
 	return err
 }
 
--- a/internal/peer/reader.go
+++ b/internal/peer/reader.go
@@ -38,7 +38,8 @@
 	// from the opening of a connection to the end of its first message. The caller has
 	// given its call up long before.
 	messageTimeout = 10 * time.Second
-	// freeBytes is the size up to which a message takes no memory from the budget.
+	// freeBytes is the size up to which a message takes no memory from the budget. It is
+	// in ConnBytes.
 	freeBytes = 4 << 10
 	// decodedFactor is how many times as large as a message its decoded value may be.
 	decodedFactor = 8
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -7,15 +7,27 @@
 	"net/rpc"
 
 	"filbertstall.example/filbertstall/internal/buffer"
+	"filbertstall.example/filbertstall/internal/intake"
 )
 
-// defaultMemory limits the memory of messages and calls, in bytes.
-const defaultMemory = 16 << 20
+const (
+	// defaultMemory limits the memory of messages and calls, in bytes.
+	defaultMemory = 16 << 20
+	// defaultConns limits the connections, and defaultConnsMemory their memory in bytes.
+	defaultConns       = 1024
+	defaultConnsMemory = 16 << 20
+	// ConnBytes is the memory of a connection: its buffers, the types that it defines and
+	// the stack of its goroutine.
+	ConnBytes = 24 << 10
+)
 
 // Server serves the calls of other instances. Set the exported fields before Run.
 type Server struct {
 	// Listener accepts the connections. For mutual TLS it is a TLS listener.
 	Listener net.Listener
+	// Limiter limits the connections. If it is nil, there may be 1024, with 16 MB of
+	// memory.
+	Limiter *intake.Limiter
 	// Memory limits the memory of messages that arrive and of calls in progress. If it is
 	// nil, the limit is 16 MB.
 	Memory *buffer.Budget
@@ -47,8 +59,9 @@
 	se.setDefaults()
 	stop := context.AfterFunc(ctx, func() { _ = se.Listener.Close() })
 	defer stop()
+	ln := se.Limiter.Listen(se.Listener)
 	for {
-		conn, err := se.Listener.Accept()
+		conn, err := ln.Accept()
 		if err != nil {
 			if ctx.Err() != nil {
 				return nil
@@ -60,6 +73,9 @@
 }
 
 func (se *Server) setDefaults() {
+	if se.Limiter == nil {
+		se.Limiter = &intake.Limiter{Bytes: defaultConnsMemory, ActiveBytes: ConnBytes, Conns: defaultConns}
+	}
 	if se.Memory == nil {
 		se.Memory = &buffer.Budget{Bytes: defaultMemory}
 	}
