entry: bodies take their memory while they arrive

Bodies of legal size, whole or stopping short of their end, ended a process of serve: the HTTP library read each body before the handler saw it, without a common bound, grew it by doubling, and the handlers and the endpoint client each copied it. Operators' bodies were read before the bearer token was looked at, and multipart forms were parsed into memory and files.

The body is now a stream that is read after authentication, into a budget that callers and operators share (a quarter of limits.memory_mb, 256 MiB if it is not known). The same bytes are counted until the request is answered, or until a stream needs them no more; nobody copies them. A body without room is refused with 429 queue_full, not run; the first KiB of each is free. A refusal before a body was read closes the connection if the body is over 64 KiB or chunked, after the caller could read it. limits.body_bytes may be a sixteenth of limits.memory_mb at most, so that one alone is served.

Cost: the library keeps the read buffer of 16 KiB while a response is streamed, which it released before. Not measured.

--- a/internal/call/fleet_test.go
+++ b/internal/call/fleet_test.go
@@ -341,6 +341,6 @@
 	cf := in.holder.Load()
 	te, _ := cf.Team("families")
 	return in.handler.Serve(&filter.Exchange{
-		HTTP: ctx, Context: within, ID: "r", Arrived: time.Now(), Deadline: deadline, Configuration: cf, Team: te,
+		HTTP: ctx, Body: ctx.PostBody(), Context: within, ID: "r", Arrived: time.Now(), Deadline: deadline, Configuration: cf, Team: te,
 	})
 }
--- a/internal/call/handler.go
+++ b/internal/call/handler.go
@@ -174,7 +174,7 @@
 
 func newOutgoingCall(ex *filter.Exchange, se kind.Service, ta target, key string) *outgoingCall {
 	header := &ex.HTTP.Request.Header
-	body := append([]byte(nil), ex.HTTP.PostBody()...)
+	body := ex.Body
 	return &outgoingCall{
 		ex: ex, service: se,
 		request: endpoint.Request{
--- a/internal/control/route.go
+++ b/internal/control/route.go
@@ -78,7 +78,7 @@
 func (co *Control) makePlan(re operator.Request) (any, error) {
 	ctx, cancel := requestContext()
 	defer cancel()
-	pl, err := co.Plans.Make(ctx, re.Team.Name, queryArgument(re, "file"), re.HTTP.PostBody())
+	pl, err := co.Plans.Make(ctx, re.Team.Name, queryArgument(re, "file"), re.Body)
 	return planAnswer(re, pl, err)
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -169,14 +169,14 @@
 	calls := &call.Handler{Granter: granter, Sender: client, Recorder: recorder, Clock: da.Clock, Log: da.Log, Scope: da.root.Scope, Retries: retries, Shutdown: &da.shutdown}
 	in := da.newIntakes()
 	da.entry = &entry.Server{
-		Listener: li.caller, Intake: in.callers, Configuration: &da.configuration, Instance: da.Settings.Name, Explain: da.explain,
+		Listener: li.caller, Intake: in.callers, Memory: in.bodies, Configuration: &da.configuration, Instance: da.Settings.Name, Explain: da.explain,
 		CreateGeneration: generations.Create, ResumeGeneration: generations.Resume, Call: calls.Serve,
 		OpenStreams: generations.OpenStreams, HandOver: generations.HandOver, Hangups: hangups,
 		Metrics: metrics, Scope: da.root.Scope, Clock: da.Clock, Log: da.Log,
 		BodyBytes: limits.BodyBytes, Timeout: time.Duration(limits.Timeout), MaxTimeout: time.Duration(limits.MaxTimeout),
 	}
 	operators := &operator.Server{
-		Listener: li.operator, Intake: in.operators, Configuration: &da.configuration, Ready: da.entry.Ready, Metrics: metrics,
+		Listener: li.operator, Intake: in.operators, Memory: in.bodies, Configuration: &da.configuration, Ready: da.entry.Ready, Metrics: metrics,
 		Instance: da.Settings.Name, Zone: da.Settings.Zone,
 		Routes: da.routes(),
 	}
--- a/internal/daemon/intake.go
+++ b/internal/daemon/intake.go
@@ -17,8 +17,9 @@
 	// assumedMemoryBytes is the memory by which bodies, messages and connections are limited
 	// if that of the process is not known.
 	assumedMemoryBytes = 1 << 30
-	// messagesDivisor divides the memory of the process to get the limit for the messages and
-	// calls of other instances.
+	// bodiesDivisor and messagesDivisor divide the memory of the process to get the limits for
+	// the bodies of requests, and for the messages and calls of other instances.
+	bodiesDivisor   = 4
 	messagesDivisor = 16
 	// callersDivisor, operatorsDivisor and peersDivisor divide the memory of the process to
 	// get the limits for the connections of each listener.
@@ -45,8 +46,9 @@
 // intakes has the limits for what arrives from outside.
 type intakes struct {
 	callers, operators, peers *intake.Limiter
-	// messages limits what other instances send.
-	messages *buffer.Budget
+	// bodies limits the bodies of the requests of callers and operators together, messages
+	// what other instances send.
+	bodies, messages *buffer.Budget
 	// closedPeers counts the connections of other instances that were closed.
 	closedPeers *intake.Closed
 }
@@ -63,6 +65,7 @@
 			Bytes: memory / peersDivisor, ActiveBytes: peer.ConnBytes, SilentBytes: silentBytes(da.Settings.Peer, peer.ConnBytes),
 			Conns: files / peersFilesDivisor, OnClose: peers.CountCause,
 		},
+		bodies:      &buffer.Budget{Bytes: memory / bodiesDivisor},
 		messages:    &buffer.Budget{Bytes: memory / messagesDivisor},
 		closedPeers: peers,
 	}
--- a/internal/endpoint/client.go
+++ b/internal/endpoint/client.go
@@ -75,7 +75,7 @@
 	if ge.ForcedPrefix > 0 {
 		req.Header.Set(ForcedPrefixHeader, strconv.FormatInt(ge.ForcedPrefix, 10))
 	}
-	req.SetBody(ge.Body)
+	req.SetBodyRaw(ge.Body)
 	return cl.open("generate", url, ge.ID, ge.ForcedPrefix, req)
 }
 
@@ -184,7 +184,7 @@
 	if re.Key != "" {
 		req.Header.Set(KeyHeader, re.Key)
 	}
-	req.SetBody(re.Body)
+	req.SetBodyRaw(re.Body)
 	client := cl.pooled
 	if re.NewConnection {
 		client = cl.unpooled
--- a/internal/entry/filters.go
+++ b/internal/entry/filters.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"filbertstall.example/filbertstall/internal/filter"
+	"filbertstall.example/filbertstall/internal/intake"
 	"filbertstall.example/filbertstall/internal/refusal"
 	"filbertstall.example/filbertstall/pkg/kind"
 )
@@ -63,6 +64,22 @@
 	}
 }
 
+// readBody reads the body of the request. It frees it when the handler returns, unless a
+// response that goes on has taken it.
+func (se *Server) readBody(next filter.Handler) filter.Handler {
+	return func(ex *filter.Exchange) error {
+		bf, err := intake.ReadBody(ex.HTTP, se.Memory, se.BodyBytes)
+		if err != nil {
+			return intake.RefusalOfBody(err)
+		}
+		intake.Served(ex.HTTP.Conn())
+		ex.SetBody(bf)
+		defer ex.FreeBody()
+		ex.Arrived = se.Clock.Now()
+		return next(ex)
+	}
+}
+
 // setDeadline sets the deadline of the exchange from the Request-Timeout header,
 // a number of seconds that is limited to MaxTimeout. Without the header the
 // deadline is Timeout after arrival.
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -24,6 +24,7 @@
 	"github.com/uber-go/tally/v4"
 	"github.com/valyala/fasthttp"
 
+	"filbertstall.example/filbertstall/internal/buffer"
 	"filbertstall.example/filbertstall/internal/explain"
 	"filbertstall.example/filbertstall/internal/filter"
 	"filbertstall.example/filbertstall/internal/hangup"
@@ -67,6 +68,9 @@
 	Log     zerolog.Logger
 	// BodyBytes is the maximum size of the body of a request.
 	BodyBytes int
+	// Memory limits the bodies of all requests that are being served. If it is nil, they have
+	// no common limit.
+	Memory *buffer.Budget
 	// Intake limits the connections, and the time in which a request arrives. If it is nil,
 	// they have no limits.
 	Intake *intake.Limiter
@@ -119,7 +123,7 @@
 	se.baseContext, se.cancelWaiting = context.WithCancelCause(context.Background())
 	chain := []filter.Filter{
 		filter.Func(se.refuseWhileStopping), filter.Func(se.attachConfiguration),
-		filter.Func(authenticate), filter.Func(se.setDeadline), filter.Func(se.watchCaller), filter.Recover{},
+		filter.Func(authenticate), filter.Func(se.readBody), filter.Func(se.setDeadline), filter.Func(se.watchCaller), filter.Recover{},
 	}
 	se.create = filter.Chain(se.CreateGeneration, chain...)
 	se.resume = filter.Chain(se.ResumeGeneration, chain...)
@@ -127,7 +131,8 @@
 	se.server = fasthttp.Server{
 		Handler: se.serve, ErrorHandler: se.handleReadError, NoDefaultServerHeader: true, CloseOnShutdown: true,
 		MaxRequestBodySize: se.BodyBytes, ReadBufferSize: maxHeaderBytes, IdleTimeout: idleTimeout,
-		// Releases the read buffer of a connection while a stream is written to it.
+		// The body is read by readBody, so that its memory is counted while it arrives.
+		StreamRequestBody: true, DisablePreParseMultipartForm: true,
 		ReduceMemoryUsage: true, Logger: writetimeout.QuietLogger{},
 	}
 }
@@ -142,7 +147,9 @@
 }
 
 func (se *Server) serve(ctx *fasthttp.RequestCtx) {
-	intake.Served(ctx.Conn())
+	if !ctx.Request.IsBodyStream() {
+		intake.Served(ctx.Conn())
+	}
 	path := string(ctx.Path())
 	switch path {
 	case "/healthz":
@@ -188,6 +195,7 @@
 		er := refusal.From(err)
 		se.Explain.Add(ex.ID, explain.Event{Step: explain.Answered, Reason: er.Error()})
 		se.refuse(ctx, ex.ID, er)
+		intake.Refused(ctx)
 	}
 	ctx.Response.Header.Set(requestIDHeader, ex.ID)
 }
@@ -214,9 +222,7 @@
 // handleReadError answers a request that fasthttp could not read. It
 // distinguishes the cases by the texts of fasthttp's errors.
 func (se *Server) handleReadError(ctx *fasthttp.RequestCtx, err error) {
-	if co, ok := ctx.Conn().(*writetimeout.Conn); ok {
-		co.MarkUnread()
-	}
+	intake.MarkUnread(ctx)
 	if strings.Contains(err.Error(), "body size exceeds") {
 		se.refuse(ctx, "", refusal.Wrap(refusal.TooLarge, "the body is too large", err))
 		return
--- a/internal/filter/filter.go
+++ b/internal/filter/filter.go
@@ -18,6 +18,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"filbertstall.example/filbertstall/internal/buffer"
 	"filbertstall.example/filbertstall/internal/refusal"
 	"filbertstall.example/filbertstall/pkg/kind"
 )
@@ -29,6 +30,8 @@
 	// Context ends at the deadline, when the caller closes its connection, or
 	// when a graceful shutdown refuses the requests that still wait.
 	Context context.Context
+	// Body is the body of the request. It must not be changed.
+	Body []byte
 	// ID identifies the request to its caller and in the explanation of a refusal.
 	// The IDs of its requests for a place, which logs and explanations show, begin
 	// with it.
@@ -41,8 +44,25 @@
 	Configuration *kind.Configuration
 	// Team is the team of the caller, set by authentication.
 	Team kind.Team
+
+	body *buffer.Buffer
 }
 
+// SetBody sets the body to that of a joined buffer, which FreeBody frees.
+func (ex *Exchange) SetBody(bf *buffer.Buffer) { ex.body, ex.Body = bf, bf.Bytes() }
+
+// TakeBody returns a function that frees the body in place of FreeBody, for a response that
+// is written after the handler has returned. It may be called more than once, but not
+// concurrently.
+func (ex *Exchange) TakeBody() (free func()) {
+	bf := ex.body
+	ex.body = nil
+	return bf.Free
+}
+
+// FreeBody gives the memory of the body back, unless TakeBody was called.
+func (ex *Exchange) FreeBody() { ex.body.Free() }
+
 // Handler serves an exchange, or returns why it cannot. An error that is not a
 // refusal counts as a refusal with reason Internal.
 type Handler func(ex *Exchange) error
--- a/internal/generation/caller_test.go
+++ b/internal/generation/caller_test.go
@@ -69,7 +69,7 @@
 	}
 	ctx.Init(&req, nil, nil)
 	ex := &filter.Exchange{
-		HTTP: ctx, Context: parent, ID: strconv.Itoa(ca.dp.starts) + "x" + strconv.Itoa(ca.tokens),
+		HTTP: ctx, Body: ctx.PostBody(), Context: parent, ID: strconv.Itoa(ca.dp.starts) + "x" + strconv.Itoa(ca.tokens),
 		Deadline: ca.dp.clock.Now().Add(time.Minute), Configuration: ca.dp.cf, Team: kind.Team{Name: "students"},
 	}
 	ca.hangUp()
--- a/internal/generation/handler.go
+++ b/internal/generation/handler.go
@@ -81,7 +81,7 @@
 func (ha *Handler) Create(ex *filter.Exchange) error {
 	ha.initStreams()
 	path := string(ex.HTTP.Path())
-	co, err := decode(ex.HTTP.PostBody(), isChat(path))
+	co, err := decode(ex.Body, isChat(path))
 	if err != nil {
 		return err
 	}
@@ -89,13 +89,12 @@
 	if !found {
 		return refusal.New(refusal.UnknownModel, "no service offers model "+strconv.Quote(co.Model)+" to team "+ex.Team.Name)
 	}
-	body := append([]byte(nil), ex.HTTP.PostBody()...)
 	re := admission.Request{
 		ID: ex.ID, Service: sv.Name, Team: ex.Team.Name, Half: ex.Team.Half, Weight: ex.Team.Weight,
 		PromptTokens: co.promptTokens(), MaxTokens: co.MaxTokens, Prefix: co.prefixHash(),
-		Fingerprint: xxhash.Sum64(body), Deadline: ex.Deadline,
+		Fingerprint: xxhash.Sum64(ex.Body), Deadline: ex.Deadline,
 	}
-	ge := endpoint.Generation{Path: path, Body: body}
+	ge := endpoint.Generation{Path: path, Body: ex.Body}
 	if lastEventID := string(ex.HTTP.Request.Header.Peek(lastEventIDHeader)); lastEventID != "" {
 		return ha.resumeWithBody(ex, re, ge, lastEventID, co.Stream)
 	}
@@ -252,6 +251,7 @@
 	ex.HTTP.Response.Header.Set(endpoint.GenerationHeader, text)
 	ex.HTTP.Response.ImmediateHeaderFlush = true
 	re.unwatch = ha.Hangups.Watch(ex.HTTP.Conn(), func() { se.interrupt(errCallerGone) })
+	se.freeBody = ex.TakeBody()
 	ex.HTTP.SetBodyStream(re, -1)
 	ha.trackStream(re)
 	return nil
--- a/internal/generation/relay.go
+++ b/internal/generation/relay.go
@@ -177,6 +177,7 @@
 		err = errCallerGone
 	}
 	re.se.finish(err)
+	re.se.releaseBody()
 	return nil
 }
 
--- a/internal/generation/session.go
+++ b/internal/generation/session.go
@@ -55,6 +55,10 @@
 	// by a restart that drops text and is cleared once collect has discarded it.
 	nonStreaming, restarted bool
 
+	// freeBody gives the memory of the request's body back. It is nil while the handler of
+	// the request runs, which does this itself.
+	freeBody func()
+
 	// mu guards changes of st, and its use by interrupt.
 	mu sync.Mutex
 	// st is the stream from the engine, nil if there is no connection.
@@ -224,7 +228,15 @@
 	se.resumes = 0
 	se.gr.Tokens.Store(se.offset)
 	if !se.continuation && !se.nonStreaming {
-		se.ge.Body = nil
+		se.releaseBody()
+	}
+}
+
+// releaseBody releases the body of the request.
+func (se *session) releaseBody() {
+	se.ge.Body = nil
+	if se.freeBody != nil {
+		se.freeBody()
 	}
 }
 
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -20,6 +20,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"filbertstall.example/filbertstall/internal/buffer"
 	"filbertstall.example/filbertstall/internal/intake"
 	"filbertstall.example/filbertstall/internal/refusal"
 	"filbertstall.example/filbertstall/internal/snapshot"
@@ -27,8 +28,12 @@
 	"filbertstall.example/filbertstall/pkg/kind"
 )
 
-// idleTimeout is how long a keep-alive connection without requests stays open.
-const idleTimeout = 2 * time.Minute
+const (
+	// maxBodyBytes is the maximum size of the body of a request.
+	maxBodyBytes = 4 << 20
+	// idleTimeout is how long a keep-alive connection without requests stays open.
+	idleTimeout = 2 * time.Minute
+)
 
 // Server serves the operator API. Set the fields before Run.
 type Server struct {
@@ -46,6 +51,9 @@
 	// Intake limits the connections, and the time in which a request arrives. If it is nil,
 	// they have no limits.
 	Intake *intake.Limiter
+	// Memory limits the bodies of all requests that are being served. If it is nil, they have
+	// no common limit.
+	Memory *buffer.Budget
 	// Routes are the other routes, keyed by method and path, such as "GET /fleet".
 	Routes map[string]Route
 
@@ -55,7 +63,9 @@
 // Request is an authenticated request of an operator. Team is the team of the
 // bearer token, and Configuration is the one in force when the request arrived.
 type Request struct {
-	HTTP          *fasthttp.RequestCtx
+	HTTP *fasthttp.RequestCtx
+	// Body is valid until the route returns.
+	Body          []byte
 	Team          kind.Team
 	Configuration *kind.Configuration
 }
@@ -75,7 +85,9 @@
 // Run serves until ctx ends.
 func (se *Server) Run(ctx context.Context) error {
 	se.server = fasthttp.Server{
-		Handler: se.serve, NoDefaultServerHeader: true, IdleTimeout: idleTimeout,
+		Handler: se.serve, NoDefaultServerHeader: true, MaxRequestBodySize: maxBodyBytes, IdleTimeout: idleTimeout,
+		// The body is read by answer, so that its memory is counted while it arrives.
+		StreamRequestBody: true, DisablePreParseMultipartForm: true,
 		ReduceMemoryUsage: true, Logger: writetimeout.QuietLogger{},
 	}
 	stop := context.AfterFunc(ctx, func() { _ = se.Listener.Close() })
@@ -92,7 +104,9 @@
 }
 
 func (se *Server) serve(ctx *fasthttp.RequestCtx) {
-	intake.Served(ctx.Conn())
+	if !ctx.Request.IsBodyStream() {
+		intake.Served(ctx.Conn())
+	}
 	switch string(ctx.Path()) {
 	case "/healthz":
 		ctx.SetBodyString("ok\n")
@@ -106,6 +120,7 @@
 		value, err := se.answer(ctx)
 		if err != nil {
 			writeRefusal(ctx, refusal.From(err))
+			intake.Refused(ctx)
 			return
 		}
 		writeJSON(ctx, value)
@@ -132,7 +147,13 @@
 	if !te.May(ro.Role) {
 		return nil, refusal.New(refusal.Forbidden, "this needs the role "+string(ro.Role))
 	}
-	return ro.Serve(Request{HTTP: ctx, Team: te, Configuration: cf})
+	bf, err := intake.ReadBody(ctx, se.Memory, maxBodyBytes)
+	if err != nil {
+		return nil, intake.RefusalOfBody(err)
+	}
+	defer bf.Free()
+	intake.Served(ctx.Conn())
+	return ro.Serve(Request{HTTP: ctx, Body: bf.Bytes(), Team: te, Configuration: cf})
 }
 
 // Status is the answer to GET /status.
--- a/internal/setting/setting.go
+++ b/internal/setting/setting.go
@@ -134,6 +134,9 @@
 	maxFlushDelay      = Duration(time.Second)
 	// minMemoryMB is the smallest memory of a process that an instance runs in.
 	minMemoryMB = 64
+	// minMemoryBodies is how many of the largest bodies the memory must hold. A quarter of it
+	// is for bodies, of which one alone may have half, and which is copied once.
+	minMemoryBodies = 16
 )
 
 var logLevels = []string{"debug", "info", "warn", "error"}
@@ -178,6 +181,7 @@
 		{"resume_key", keyErr == nil && len(key) == 32, "must be 64 hex digits, the same on all instances"},
 		{"limits.memory_mb", se.Limits.MemoryMB == 0 || se.Limits.MemoryMB >= minMemoryMB, "must be 0 or at least 64"},
 		{"limits.body_bytes", se.Limits.BodyBytes >= 1024 && se.Limits.BodyBytes <= 64<<20, "allowed are 1024 to 67108864"},
+		{"limits.body_bytes", se.Limits.MemoryMB == 0 || int64(se.Limits.BodyBytes) <= se.Limits.MemoryBytes()/minMemoryBodies, "must be at most a sixteenth of limits.memory_mb"},
 		{"limits.timeout", se.Limits.Timeout > 0 && se.Limits.Timeout <= se.Limits.MaxTimeout, "must be above 0s and at most limits.max_timeout"},
 		{"limits.max_timeout", se.Limits.MaxTimeout > 0, "must be above 0s"},
 		{"limits.idle_timeout", se.Limits.IdleTimeout >= Duration(100*time.Millisecond), "must be at least 100ms"},
--- a/internal/setting/setting_test.go
+++ b/internal/setting/setting_test.go
@@ -50,6 +50,7 @@
 		Entry("listener without TLS and without allow_plaintext", `true`, `false`, `f:5: caller.tls: needs cert_file`),
 		Entry("bad duration", `"allow_plaintext"`, `"limits": {"timeout": 5}, "allow_plaintext"`, `f:10: limits.timeout: must be a duration`),
 		Entry("too little memory", `"allow_plaintext"`, `"limits": {"memory_mb": 63}, "allow_plaintext"`, `f:10: limits.memory_mb: must be 0 or at least 64`),
+		Entry("bodies too large for the memory", `"allow_plaintext"`, `"limits": {"memory_mb": 64, "body_bytes": 4194305}, "allow_plaintext"`, `f:10: limits.body_bytes: must be at most a sixteenth of limits.memory_mb`),
 		Entry("syntax", `"zone":`, `"zone"`, `f:4: syntax:`),
 		Entry("not an object", valid, `[]`, `f:1: settings: must be an object`),
 	)
