buffer: only a body that is alone may be copied into all that is free

The copy now takes all that is free only if no other body holds memory, and else asks the dynamic threshold as before.

--- a/internal/buffer/budget.go
+++ b/internal/buffer/budget.go
@@ -28,13 +28,9 @@
 	}
 }
 
-// takeFree takes more bytes if they are free.
-func (bu *Budget) takeFree(more int64) bool {
-	if bu.used.Add(more) <= bu.Bytes {
-		return true
-	}
-	bu.used.Add(-more)
-	return false
+// takeAlone takes more bytes for a share that holds all that is taken, if they are free.
+func (bu *Budget) takeAlone(held, more int64) bool {
+	return held+more <= bu.Bytes && bu.used.CompareAndSwap(held, held+more)
 }
 
 // Share is the part of a budget that belongs to one body. The zero value has no budget
@@ -59,12 +55,12 @@
 	return true
 }
 
-// grow makes the share larger for a short time. In contrast to Resize, it may take all that
-// is free.
+// grow makes the share larger for a short time. In contrast to Resize, a share that is the
+// only one may take all that is free.
 func (sh *Share) grow(more int64) bool {
-	if sh.Budget != nil && !sh.Budget.takeFree(more) {
-		return false
+	if sh.Budget != nil && sh.Budget.takeAlone(sh.held, more) {
+		sh.held += more
+		return true
 	}
-	sh.held += more
-	return true
+	return sh.Resize(sh.held + more)
 }
