--- a/internal/buffer/budget.go
+++ b/internal/buffer/budget.go
@@ -28,6 +28,11 @@
 	}
 }
 
+// takeAlone takes more bytes for a share that holds all that is taken, if they are free.
+func (bu *Budget) takeAlone(held, more int64) bool {
+	return held+more <= bu.Bytes && bu.used.CompareAndSwap(held, held+more)
+}
+
 // Share is the part of a budget that belongs to one body. The zero value has no budget
 // and no bound. Only one goroutine may use it.
 type Share struct {
@@ -49,3 +54,13 @@
 	sh.held = size
 	return true
 }
+
+// grow makes the share larger for a short time. In contrast to Resize, a share that is the
+// only one may take all that is free.
+func (sh *Share) grow(more int64) bool {
+	if sh.Budget != nil && sh.Budget.takeAlone(sh.held, more) {
+		sh.held += more
+		return true
+	}
+	return sh.Resize(sh.held + more)
+}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -24,9 +24,11 @@
 	"github.com/uber-go/tally/v4"
 	"github.com/valyala/fasthttp"
 
+	"filbertstall.example/filbertstall/internal/buffer"
 	"filbertstall.example/filbertstall/internal/explain"
 	"filbertstall.example/filbertstall/internal/filter"
 	"filbertstall.example/filbertstall/internal/hangup"
+	"filbertstall.example/filbertstall/internal/intake"
 	"filbertstall.example/filbertstall/internal/metric"
 	"filbertstall.example/filbertstall/internal/refusal"
 	"filbertstall.example/filbertstall/internal/snapshot"
@@ -66,6 +68,12 @@
 	Log     zerolog.Logger
 	// BodyBytes is the maximum size of the body of a request.
 	BodyBytes int
+	// Memory limits the bodies of all requests that are being served. If it is nil, they have
+	// no common limit.
+	Memory *buffer.Budget
+	// Intake limits the connections, and the time in which a request arrives. If it is nil,
+	// they have no limits.
+	Intake *intake.Limiter
 	// Timeout applies to requests without a Request-Timeout header. MaxTimeout is
 	// the maximum that the header may ask for.
 	Timeout    time.Duration
@@ -95,7 +103,11 @@
 	se.prepare()
 	stop := context.AfterFunc(ctx, func() { _ = se.Listener.Close() })
 	defer stop()
-	err := se.server.Serve(writetimeout.Listener{Listener: se.Listener, Timeout: se.WriteTimeout})
+	ln := se.Listener
+	if se.Intake != nil {
+		ln = se.Intake.Listen(ln)
+	}
+	err := se.server.Serve(writetimeout.Listener{Listener: ln, Timeout: se.WriteTimeout})
 	if ctx.Err() != nil || se.stopping.Load() {
 		return nil
 	}
@@ -111,7 +123,7 @@
 	se.baseContext, se.cancelWaiting = context.WithCancelCause(context.Background())
 	chain := []filter.Filter{
 		filter.Func(se.refuseWhileStopping), filter.Func(se.attachConfiguration),
-		filter.Func(authenticate), filter.Func(se.setDeadline), filter.Func(se.watchCaller), filter.Recover{},
+		filter.Func(authenticate), filter.Func(se.readBody), filter.Func(se.setDeadline), filter.Func(se.watchCaller), filter.Recover{},
 	}
 	se.create = filter.Chain(se.CreateGeneration, chain...)
 	se.resume = filter.Chain(se.ResumeGeneration, chain...)
@@ -119,8 +131,9 @@
 	se.server = fasthttp.Server{
 		Handler: se.serve, ErrorHandler: se.handleReadError, NoDefaultServerHeader: true, CloseOnShutdown: true,
 		MaxRequestBodySize: se.BodyBytes, ReadBufferSize: maxHeaderBytes, IdleTimeout: idleTimeout,
-		// Releases the read buffer of a connection while a stream is written to it.
-		ReduceMemoryUsage: true,
+		// The body is read by readBody, so that its memory is counted while it arrives.
+		StreamRequestBody: true, DisablePreParseMultipartForm: true,
+		ReduceMemoryUsage: true, Logger: writetimeout.QuietLogger{},
 	}
 }
 
@@ -134,6 +147,9 @@
 }
 
 func (se *Server) serve(ctx *fasthttp.RequestCtx) {
+	if !ctx.Request.IsBodyStream() {
+		intake.Served(ctx.Conn())
+	}
 	path := string(ctx.Path())
 	switch path {
 	case "/healthz":
@@ -179,6 +195,7 @@
 		er := refusal.From(err)
 		se.Explain.Add(ex.ID, explain.Event{Step: explain.Answered, Reason: er.Error()})
 		se.refuse(ctx, ex.ID, er)
+		intake.Refused(ctx)
 	}
 	ctx.Response.Header.Set(requestIDHeader, ex.ID)
 }
@@ -205,9 +222,7 @@
 // handleReadError answers a request that fasthttp could not read. It
 // distinguishes the cases by the texts of fasthttp's errors.
 func (se *Server) handleReadError(ctx *fasthttp.RequestCtx, err error) {
-	if co, ok := ctx.Conn().(*writetimeout.Conn); ok {
-		co.MarkUnread()
-	}
+	intake.MarkUnread(ctx)
 	if strings.Contains(err.Error(), "body size exceeds") {
 		se.refuse(ctx, "", refusal.Wrap(refusal.TooLarge, "the body is too large", err))
 		return
