platform: answers of the store share a memory budget

An answer of the store may have 16 MB, and of the shortest JSON values it takes fifty times that once it is decoded; the answers of all feeds were not bounded together. A list of legal framing, 15 MB of empty objects, made an instance of 112 MB take 522 MB; its machine kills it.

Cause: the bound is for one answer, in bytes on the wire. Nothing related it to the memory of the machine, and nothing counted what is decoded.

Changes that are too large for one answer are listed instead, in pages, after a pause (feed.ErrTooLarge).

--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -51,6 +51,7 @@
 	defer closeLog()
 	clock := clockwork.NewRealClock()
 	store := platform.NewStore(settings.Store)
+	store.Memory = settings.StoreMemory()
 	in := &gw.Gateway{
 		Settings: settings, Clock: clock, Boot: boottime.System{}, Log: log,
 		Adapter: gw.Adapter{
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -46,6 +46,10 @@
 // position, so that the objects must be listed again.
 var ErrRestored = errors.New("feed: the store was restored from an older copy")
 
+// ErrTooLarge means that an answer is larger than the instance accepts. The objects are
+// listed again, after a pause.
+var ErrTooLarge = errors.New("feed: the answer of the store is too large")
+
 // Position is a point in the history of a store.
 type Position struct {
 	// Era is the number of times that the store was restored from a copy.
@@ -67,7 +71,7 @@
 	// List returns all objects and the position at which the store read them.
 	List(ctx context.Context) (list []Object[T], at Position, err error)
 	// Watch waits up to wait for changes after a position. It returns the changes
-	// and the position for the next call, or ErrHistoryGone or ErrRestored.
+	// and the position for the next call, or ErrHistoryGone, ErrRestored or ErrTooLarge.
 	Watch(ctx context.Context, after Position, wait time.Duration) ([]Change[T], Position, error)
 }
 
@@ -143,6 +147,11 @@
 			fo.listed = false
 		case errors.Is(err, ErrRestored):
 			fo.listed = false
+		case errors.Is(err, ErrTooLarge):
+			// Lists come in pages, changes all at once.
+			fo.listed = false
+			fo.recordFailure(err)
+			fo.backoff(ctx)
 		default:
 			fo.recordFailure(err)
 			fo.backoff(ctx)
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -128,6 +128,11 @@
 			[]step{{at: 1}, {err: ErrHistoryGone}, {list: []Object[string]{object("a")}, at: 7}},
 			[]string{"list", "watch 1", "list", "watch 7"}, []string{"=a"},
 		},
+		{
+			"lists again after changes that are too large for one answer",
+			[]step{{at: 1}, {err: ErrTooLarge}, {list: []Object[string]{object("a")}, at: 7}},
+			[]string{"list", "watch 1", "list", "watch 7"}, []string{"failed", "=a"},
+		},
 		{
 			"continues from the same revision after a failure",
 			[]step{{at: 1}, {err: failure}, {changes: changes("b"), at: 2}},
--- a/internal/gateway/memory.go
+++ b/internal/gateway/memory.go
@@ -12,6 +12,11 @@
 	// does not grow with what others send, and for the garbage collector.
 	bodiesDivisor    = 4
 	readAheadDivisor = 8
+	// storeDivisor divides the memory of the process to get the limit for the answers of
+	// the store that are being received.
+	storeDivisor = 8
+	// defaultStoreBytes is that limit if the memory of the process is not known.
+	defaultStoreBytes = 32 << 20
 	// maxBodyDivisor divides the limit for bodies to get that for the body of one request.
 	maxBodyDivisor = 2
 	// defaultBodyBytes is the limit for bodies if the memory of the process is not known.
@@ -41,6 +46,14 @@
 	}
 }
 
+// StoreMemory returns the budget of the answers of the store that are being received.
+func (se Settings) StoreMemory() *buffer.Budget {
+	if se.MemoryBytes <= 0 {
+		return &buffer.Budget{Bytes: defaultStoreBytes}
+	}
+	return &buffer.Budget{Bytes: se.MemoryBytes / storeDivisor}
+}
+
 // HeapLimit returns the memory that the Go runtime may use, in bytes, or 0 if the memory
 // of the process is not known.
 func (se Settings) HeapLimit() int64 { return int64(heapShare * float64(se.MemoryBytes)) }
