gateway: calls of other instances are bounded by its own memory

Cause: the server of calls had fixed bounds, 48 MB in all, whatever the machine has. Change: a sixteenth of memory_mb for its connections and one for messages and calls, an eighth of max_fds.

--- a/internal/gateway/intake.go
+++ b/internal/gateway/intake.go
@@ -8,6 +8,7 @@
 	"golang.org/x/sys/unix"
 
 	"filbertstall.example/filbertstall/internal/intake"
+	"filbertstall.example/filbertstall/internal/peer"
 )
 
 const (
@@ -19,11 +20,12 @@
 	// auxiliaryConnections limits the connections to the readiness check and to the metrics,
 	// each.
 	auxiliaryConnections = 64
-	// callersFilesDivisor and forwardsFilesDivisor divide the descriptors of the process to
-	// get the limits for connections of callers and of forwards. The others are for
-	// endpoints, other instances and the store.
+	// callersFilesDivisor, forwardsFilesDivisor and callsFilesDivisor divide the descriptors
+	// of the process to get the limits for connections of callers, forwards and calls. The
+	// others are for endpoints, other instances and the store.
 	callersFilesDivisor  = 2
 	forwardsFilesDivisor = 8
+	callsFilesDivisor    = 8
 	// silentTimeout is the longest time for which a new connection may be silent.
 	silentTimeout = 30 * time.Second
 	// bodyTimeout is the longest time without a byte of a body.
@@ -66,9 +68,13 @@
 	return int(min(limit.Cur, math.MaxInt32))
 }
 
-// newIntake returns the limits of the connections of a listener.
+func (gw *Gateway) newClosed(listener string) *intake.Closed {
+	return &intake.Closed{Listener: listener, Part: "gateway", Clock: gw.Clock, Log: gw.Log, Scope: gw.metrics.Scope}
+}
+
+// newIntake returns the limits of the connections of a listener for HTTP.
 func (gw *Gateway) newIntake(listener string, bytes int64, files int) *intake.Limiter {
-	closed := &intake.Closed{Listener: listener, Part: "gateway", Clock: gw.Clock, Log: gw.Log, Scope: gw.metrics.Scope}
+	closed := gw.newClosed(listener)
 	return &intake.Limiter{
 		Bytes: bytes, ActiveBytes: connectionBytes, Conns: files, SilentTimeout: silentTimeout, HeadTimeout: gw.headTimeout, BodyTimeout: bodyTimeout, OnClose: closed.CountCause,
 	}
@@ -81,3 +87,15 @@
 	li.ActiveBytes = auxiliaryConnectionBytes
 	return li.Listen(ln)
 }
+
+// newPeerServer returns the server of calls of other instances, which bounds the time of a
+// message itself.
+func (gw *Gateway) newPeerServer(ln net.Listener) *peer.Server {
+	closed := gw.newClosed("calls")
+	return &peer.Server{
+		Listener: ln, Memory: gw.memory.messages, OnClose: func(ca peer.Cause) { closed.Count(string(ca)) },
+		Limiter: &intake.Limiter{
+			Bytes: gw.memory.calls, ActiveBytes: peer.ConnBytes, Conns: gw.Settings.maxFiles() / callsFilesDivisor, OnClose: closed.CountCause,
+		},
+	}
+}
--- a/internal/gateway/memory.go
+++ b/internal/gateway/memory.go
@@ -17,10 +17,14 @@
 	storeDivisor = 8
 	// defaultStoreBytes is that limit if the memory of the process is not known.
 	defaultStoreBytes = 32 << 20
-	// callersDivisor and forwardsDivisor divide the memory of the process to get the limits
-	// for the connections of callers, and of instances that forward requests.
+	// callersDivisor, forwardsDivisor and callsDivisor divide the memory of the process to
+	// get the limits for the connections of callers, of instances that forward requests, and
+	// of those that make calls.
 	callersDivisor  = 6
 	forwardsDivisor = 24
+	callsDivisor    = 16
+	// messagesDivisor divides it to get the limit for the messages and calls of instances.
+	messagesDivisor = 16
 	// maxBodyDivisor divides the limit for bodies to get that for the body of one request,
 	// which is copied once.
 	maxBodyDivisor = 3
@@ -40,9 +44,11 @@
 	readAhead *readahead.Budget
 	// maxBody limits the body of one request.
 	maxBody int
-	// callers and forwards limit the connections of callers, and of instances that forward
-	// requests, in bytes.
-	callers, forwards int64
+	// callers, forwards and calls limit the connections of callers, of instances that forward
+	// requests, and of those that make calls, in bytes.
+	callers, forwards, calls int64
+	// messages limits the messages and calls of other instances.
+	messages *buffer.Budget
 }
 
 // divideMemory divides the memory of the process, in bytes.
@@ -56,8 +62,9 @@
 		connections = total
 	}
 	return memory{
-		callers: connections / callersDivisor, forwards: connections / forwardsDivisor,
-		bodies: &buffer.Budget{Bytes: bodies}, readAhead: &readahead.Budget{Bytes: int(readAhead)},
+		callers: connections / callersDivisor, forwards: connections / forwardsDivisor, calls: connections / callsDivisor,
+		messages: &buffer.Budget{Bytes: connections / messagesDivisor},
+		bodies:   &buffer.Budget{Bytes: bodies}, readAhead: &readahead.Budget{Bytes: int(readAhead)},
 		maxBody: int(min(bodies/maxBodyDivisor, ingress.DefaultMaxBodyBytes)),
 	}
 }
--- a/internal/gateway/share.go
+++ b/internal/gateway/share.go
@@ -30,7 +30,7 @@
 	}
 	reserver := gw.reserver()
 	di.Reserver, exchange.Grants = reserver, reserver
-	peers := &peer.Server{Listener: li.calls}
+	peers := gw.newPeerServer(li.calls)
 	err := errors.Join(
 		peers.Register(relay.ServiceName, gw.relay.Service()), peers.Register(suspicion.ServiceName, gw.suspects.Service()),
 		peers.Register(ratelimit.ServiceName, gw.allocator.Service()), peers.Register(concurrency.ServiceName, gw.slots.Service()),
