--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"io"
 	"net"
-	"os"
 	"runtime/debug"
 	"strconv"
 	"sync/atomic"
@@ -178,7 +177,7 @@
 	body, err := intake.ReadBody(ctx, se.Memory, se.bodyLimit())
 	if err != nil {
 		se.inFlight.Add(-1)
-		se.refuseUnread(ctx, refusalOfBody(err))
+		se.refuseUnread(ctx, intake.RefusalOfBody(err))
 		return
 	}
 	intake.Served(ctx.Conn())
@@ -236,9 +235,7 @@
 
 // refuseUnread refuses a request whose body was not read, and closes its connection.
 func (se *Server) refuseUnread(ctx *fasthttp.RequestCtx, er *refusal.Error) {
-	if co, ok := ctx.Conn().(*writetimeout.Conn); ok {
-		co.MarkUnread()
-	}
+	intake.MarkUnread(ctx)
 	ctx.Response.SetConnectionClose()
 	re, _ := se.decode(ctx, nil)
 	se.refuse(ctx, re, er)
@@ -254,20 +251,6 @@
 	return se.Codec.Request(ctx, body, se.Clock.Now()), nil
 }
 
-// refusalOfBody returns the refusal of a request whose body could not be read.
-func refusalOfBody(err error) *refusal.Error {
-	switch {
-	case errors.Is(err, buffer.ErrTooLarge):
-		return refusal.Wrap(refusal.TooLarge, "the body is too large", err)
-	case errors.Is(err, buffer.ErrFull):
-		return refusal.Wrap(refusal.QueueFull, "the bodies of the requests in flight take all memory that they may", err)
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		return refusal.Wrap(refusal.DeadlinePassed, "the body did not arrive in time", err)
-	default:
-		return refusal.Wrap(refusal.BadRequest, "the body is not readable", err)
-	}
-}
-
 // errCallerDisconnected is the cancellation cause of requests whose caller closed
 // the connection.
 var errCallerDisconnected = errors.New("ingress: the caller closed the connection")
--- a/internal/intake/body.go
+++ b/internal/intake/body.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"os"
 
 	"github.com/valyala/fasthttp"
 
@@ -44,8 +45,10 @@
 		return refusal.Wrap(refusal.TooLarge, "the body is too large", err)
 	case errors.Is(err, buffer.ErrFull):
 		return refusal.Wrap(refusal.QueueFull, "the bodies of the requests in flight take all memory that they may", err)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return refusal.Wrap(refusal.DeadlinePassed, "the body did not arrive in time", err)
 	default:
-		return refusal.Wrap(refusal.BadRequest, "the body is not readable, or did not arrive in time", err)
+		return refusal.Wrap(refusal.BadRequest, "the body is not readable", err)
 	}
 }
 
