--- a/internal/filter/filter.go
+++ b/internal/filter/filter.go
@@ -49,7 +49,7 @@
 }
 
 // SetBody sets the body to that of a joined buffer, which FreeBody frees.
-func (ex *Exchange) SetBody(bf *buffer.Buffer) { ex.body, ex.Body = bf, bf.Bytes() }
+func (ex *Exchange) SetBody(bf *buffer.Buffer) { ex.body, ex.Body = bf, bf.Joined() }
 
 // TakeBody returns a function that frees the body in place of FreeBody, for a response that
 // is written after the handler has returned. It may be called more than once, but not
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -153,7 +153,7 @@
 	}
 	defer bf.Free()
 	intake.Served(ctx.Conn())
-	return ro.Serve(Request{HTTP: ctx, Body: bf.Bytes(), Team: te, Configuration: cf})
+	return ro.Serve(Request{HTTP: ctx, Body: bf.Joined(), Team: te, Configuration: cf})
 }
 
 // Status is the answer to GET /status.
