--- a/internal/endlessfake/server.go
+++ b/internal/endlessfake/server.go
@@ -13,7 +13,7 @@
 )
 
 // MaxBytes limits what a server sends on one connection, in bytes, so that a test ends
-// whatever the caller keeps.
+// even if the caller keeps all of it.
 const MaxBytes = 128 << 20
 
 // sendBufferBytes is the size of the socket's send buffer, which holds bytes that count
--- a/internal/endpoint/endless_test.go
+++ b/internal/endpoint/endless_test.go
@@ -20,7 +20,7 @@
 	// while their answers arrive, in bytes.
 	slots        = 24
 	maxHeldBytes = 112 << 20
-	// endlessTimeout ends a call whose caller doesn't give up.
+	// endlessTimeout ends a call that its caller doesn't end.
 	endlessTimeout = 20 * time.Second
 )
 
--- a/internal/readlimit/conn.go
+++ b/internal/readlimit/conn.go
@@ -1,4 +1,4 @@
-// Package readlimit limits how many bytes an answer may have on the wire, whatever its
+// Package readlimit limits how many bytes an answer may have on the wire, for any
 // framing: a head, a body, chunks of one byte or what is between them.
 //
 // It is for clients of HTTP/1.1 that make one call at a time on a connection: each write
--- a/internal/upstream/answer_copy_test.go
+++ b/internal/upstream/answer_copy_test.go
@@ -29,7 +29,7 @@
 const interim = "HTTP/1.1 100 Continue\r\n\r\n"
 
 // A copy of any answer, at any time, must not be taken for the answer to a later call on the
-// connection, whether that has the same ID or another: a caller got another's answer, or heard
+// connection, whether that has the same ID or another: a caller got another's answer, or read
 // that its request had not run though it ran.
 func TestCopyOfAnAnswerIsNeverTakenForAnother(t *testing.T) {
 	const pause = 20 * time.Millisecond
@@ -188,7 +188,7 @@
 }
 
 // Calls without an ID: an answer with an ID is never theirs, and a connection with a refusal is
-// not kept. A copy of a success is not told from the next answer; calls for which that matters
+// not kept. A copy of a success is not distinguished from the next answer; calls for which that matters
 // set Once.
 func TestCopyOfAnAnswerToACallWithoutID(t *testing.T) {
 	for _, ca := range []struct {
@@ -233,7 +233,7 @@
 	}
 }
 
-// The answer to a HEAD request has no body whatever its length says. Its copy, or one of another
+// The answer to a HEAD request has no body, even if it states a length. Its copy, or one of another
 // answer before the answer to a HEAD request, must not shift where the next answer begins.
 func TestCopyOfAnAnswerAroundHead(t *testing.T) {
 	const (
--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -38,7 +38,7 @@
 }
 
 // needsOwnConnection reports whether the call is made over a connection of its own, which is
-// not kept. An answer to HEAD has no body whatever its length says, so that its copy before
+// not kept. An answer to HEAD has no body, even if it states a length, so that its copy before
 // another answer, or another's copy before it, could not be delimited.
 func (ca Call) needsOwnConnection() bool { return ca.Once || ca.Method == http.MethodHead }
 
