intake: one choice of the next connection to close, one look-up of descriptors

Cause: the reading of the whole change: the limiter chose the next connection to close in two places, and the limit of descriptors was read by the same lines in gateway and daemon. Change: nextVictim and MaxFiles; behaviour is the same.

--- a/internal/daemon/intake.go
+++ b/internal/daemon/intake.go
@@ -2,11 +2,8 @@
 
 import (
 	"cmp"
-	"math"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"filbertstall.example/filbertstall/internal/buffer"
 	"filbertstall.example/filbertstall/internal/intake"
 	"filbertstall.example/filbertstall/internal/peer"
@@ -56,7 +53,7 @@
 // newIntakes divides the memory and the descriptors of the process.
 func (da *Daemon) newIntakes() intakes {
 	memory := cmp.Or(da.Settings.Limits.MemoryBytes(), assumedMemoryBytes)
-	files := maxFiles()
+	files := intake.MaxFiles()
 	peers := da.newClosed("peer")
 	return intakes{
 		callers:   da.newHTTPLimiter("caller", da.Settings.Caller, memory/callersDivisor, files/callersFilesDivisor),
@@ -92,13 +89,3 @@
 	}
 	return 0
 }
-
-// maxFiles returns the number of descriptors that the process may have open, or 0 if it is
-// not known.
-func maxFiles() int {
-	var limit unix.Rlimit
-	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err != nil {
-		return 0
-	}
-	return int(min(limit.Cur, math.MaxInt32))
-}
--- a/internal/gateway/intake.go
+++ b/internal/gateway/intake.go
@@ -1,12 +1,9 @@
 package gateway
 
 import (
-	"math"
 	"net"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"filbertstall.example/filbertstall/internal/intake"
 	"filbertstall.example/filbertstall/internal/peer"
 )
@@ -61,11 +58,7 @@
 	if se.MaxFiles > 0 {
 		return se.MaxFiles
 	}
-	var limit unix.Rlimit
-	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err != nil {
-		return 0
-	}
-	return int(min(limit.Cur, math.MaxInt32))
+	return intake.MaxFiles()
 }
 
 func (gw *Gateway) newClosed(listener string) *intake.Closed {
--- a/internal/intake/limiter.go
+++ b/internal/intake/limiter.go
@@ -110,10 +110,7 @@
 // happens is kept.
 func (li *Limiter) makeRoom(favored *Conn) (victims []*Conn, enough bool) {
 	for li.exceeded() {
-		victim := firstBut(&li.fresh, favored)
-		if victim == nil {
-			victim = firstBut(&li.proven, favored)
-		}
+		victim := li.nextVictim(favored)
 		if victim == nil {
 			return victims, false
 		}
@@ -127,6 +124,15 @@
 	return li.Bytes > 0 && li.used > li.Bytes || li.Conns > 0 && li.conns > li.Conns
 }
 
+// nextVictim returns the connection that is the next to be closed for others, but not the
+// favored one, or nil if there is none.
+func (li *Limiter) nextVictim(favored *Conn) *Conn {
+	if victim := firstBut(&li.fresh, favored); victim != nil {
+		return victim
+	}
+	return firstBut(&li.proven, favored)
+}
+
 // firstBut returns the first connection of a list that is not the given one, or nil.
 func firstBut(waiting *list.List, favored *Conn) *Conn {
 	for el := waiting.Front(); el != nil; el = el.Next() {
@@ -185,10 +191,7 @@
 // displace closes the connection that is the first to be closed for others, if there is one.
 func (li *Limiter) displace() {
 	li.mu.Lock()
-	victim := firstBut(&li.fresh, nil)
-	if victim == nil {
-		victim = firstBut(&li.proven, nil)
-	}
+	victim := li.nextVictim(nil)
 	if victim != nil {
 		li.forget(victim)
 	}
