--- a/review/standin-2/replica.go
+++ b/review/standin-2/replica.go
@@ -189,7 +189,7 @@
 	// readTime is the time until a model replica begins to write an answer, which has
 	// streamEvents events.
 	readTime     = 150 * time.Millisecond
-	streamEvents = 20
+	streamEvents = 100
 	eventTime    = 30 * time.Millisecond
 )
 
