endpoint: an interim answer ends a generation as refused

What callers saw: nothing reported. All other calls skip interim answers.

Cause: endpoint.Stream takes the first head for that of the answer.

Change: it skips heads with a status under 200, eight at most.

Evidence: TestSoundFormsOfAnswers/generation/interim_answers of internal/endpoint failed before ("refused: status 100") and passes.

--- /dev/null
+++ b/internal/command/broken_answer_test.go
@@ -0,0 +1,31 @@
+package command
+
+import (
+	"net/http"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"filbertstall.example/filbertstall/internal/answerfake"
+)
+
+// askForm sends a request to an instance whose answers have a form, once.
+func askForm(t *testing.T, fo answerfake.Form) (lost bool, err error) {
+	t.Helper()
+	ac := &operatorAccess{Operator: "http://" + answerfake.Serve(t, func(*http.Request) string { return fo.Answer("", `{"a": 1}`) })}
+	cl, err := ac.client()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var into map[string]int
+	return ac.roundTrip(cl, http.MethodPost, "/plans", nil, &into)
+}
+
+// A check of the form of answers must not cost an operator what an instance says.
+func TestSoundFormsOfAnInstance(t *testing.T) {
+	for _, fo := range answerfake.Sound() {
+		lost, err := askForm(t, fo)
+		NewWithT(t).Expect(lost).To(BeFalse(), "%s: %v", fo.Name, err)
+		NewWithT(t).Expect(err == nil).To(Equal(fo.Status == http.StatusOK), fo.Name)
+	}
+}
--- /dev/null
+++ b/internal/endpoint/broken_answer_test.go
@@ -0,0 +1,79 @@
+package endpoint
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"filbertstall.example/filbertstall/internal/answerfake"
+)
+
+// formCalls are the calls of a client. Each has the body that its answer needs and returns
+// whether the client took the answer for one with status 200.
+var formCalls = []struct {
+	name, body string
+	call       func(cl *Client, url string) (bool, error)
+}{
+	{"call", "hello", func(cl *Client, url string) (bool, error) {
+		re, err := cl.Call(url, Request{Method: http.MethodPost, Path: "/x", Timeout: time.Second, Body: []byte("b")})
+		return re.Status == http.StatusOK && string(re.Body) == "hello", err
+	}},
+	{"load", `{"boot_id": "b"}`, func(cl *Client, url string) (bool, error) {
+		lo, err := cl.Load(url)
+		return lo.BootID == "b", err
+	}},
+	{"cache events", `[{"sequence": 7}]`, func(cl *Client, url string) (bool, error) {
+		list, err := cl.CacheEvents(url, 0)
+		return len(list) == 1, err
+	}},
+	{"order", "", func(cl *Client, url string) (bool, error) {
+		err := cl.Order(url, Order{Action: "load"})
+		return err == nil, err
+	}},
+	{"cancel", "", func(cl *Client, url string) (bool, error) {
+		err := cl.Cancel(url, "g")
+		return err == nil, err
+	}},
+	{"cancel unread", "", func(cl *Client, url string) (bool, error) {
+		err := cl.CancelUnread(url, "g")
+		return err == nil, err
+	}},
+	{"generation", "id: g/0\ndata: x\n\ndata: [DONE]\n\n", func(cl *Client, url string) (bool, error) {
+		st, err := cl.Generate(url, Generation{ID: "g", Path: "/v1/completions"})
+		if err != nil {
+			return false, err
+		}
+		defer st.Close()
+		for err == nil {
+			err = st.Next(&Event{})
+		}
+		return errors.Is(err, io.EOF) && st.Offset() == 1, err
+	}},
+}
+
+// serveForm starts an endpoint whose answers have a form, and returns its URL.
+func serveForm(t *testing.T, fo answerfake.Form, body string) string {
+	t.Helper()
+	return "http://" + answerfake.Serve(t, func(*http.Request) string { return fo.Answer("", body) })
+}
+
+// A check of the form of answers must not cost a caller a sound answer.
+func TestSoundFormsOfAnswers(t *testing.T) {
+	for _, ca := range formCalls {
+		for _, fo := range answerfake.Sound() {
+			t.Run(ca.name+"/"+fo.Name, func(t *testing.T) {
+				g := NewWithT(t)
+				ok, err := ca.call(&Client{}, serveForm(t, fo, ca.body))
+				g.Expect(ok).To(Equal(fo.Status == http.StatusOK), "%v", err)
+				var er *Error
+				if errors.As(err, &er) {
+					g.Expect(er.Kind).NotTo(Equal(Lost), "%v", err)
+				}
+			})
+		}
+	}
+}
--- a/internal/endpoint/connection.go
+++ b/internal/endpoint/connection.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"crypto/tls"
+	"errors"
 	"io"
 	"net"
 	"net/http/httputil"
@@ -18,6 +19,15 @@
 
 var writerPool = sync.Pool{New: func() any { return bufio.NewWriterSize(nil, streamBufferBytes) }}
 
+const (
+	// minFinalStatus is the lowest status of an answer that is not an interim one.
+	minFinalStatus = 200
+	// maxInterimAnswers is the maximum number of interim answers before the final one.
+	maxInterimAnswers = 8
+)
+
+var errTooManyInterim = errors.New("the endpoint sends interim answers only")
+
 // open sends a request over a new connection and reads the header of the
 // response. It does not use the connection pool of fasthttp, because a pooled
 // connection may be dead, and because fasthttp returns the chunks of a body one
@@ -83,13 +93,19 @@
 	if err := wr.Flush(); err != nil {
 		return err
 	}
-	var head fasthttp.ResponseHeader
-	if err := head.Read(st.raw); err != nil {
-		return err
+	for range maxInterimAnswers + 1 {
+		var head fasthttp.ResponseHeader
+		if err := head.Read(st.raw); err != nil {
+			return err
+		}
+		if head.StatusCode() < minFinalStatus {
+			continue
+		}
+		st.status = head.StatusCode()
+		st.rd.Reset(bodyOf(st.raw, head.ContentLength()))
+		return nil
 	}
-	st.status = head.StatusCode()
-	st.rd.Reset(bodyOf(st.raw, head.ContentLength()))
-	return nil
+	return errTooManyInterim
 }
 
 // chunkedLength is the content length that fasthttp reports for a chunked body.
--- /dev/null
+++ b/internal/platform/broken_answer_test.go
@@ -0,0 +1,40 @@
+package platform_test
+
+import (
+	"context"
+	"net/http"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"filbertstall.example/filbertstall/internal/answerfake"
+	"filbertstall.example/filbertstall/internal/platform"
+)
+
+// sendForm makes each call to a platform whose answers have a form, and returns their errors.
+func sendForm(t *testing.T, fo answerfake.Form) map[string]error {
+	t.Helper()
+	store := func() *platform.HTTPStore {
+		return &platform.HTTPStore{URL: "http://" + answerfake.Serve(t, func(*http.Request) string {
+			return fo.Answer("Object-Version: 7\r\n", `{}`)
+		})}
+	}
+	errs := make(map[string]error)
+	_, errs["get"] = store().Get(context.Background(), "k")
+	_, errs["list"] = store().List(context.Background(), "k")
+	_, errs["watch"] = store().Watch(context.Background(), "k", 1)
+	_, errs["update"] = store().Update(context.Background(), "k", 1, []byte("v"))
+	errs["delete"] = store().Delete(context.Background(), "k", 1)
+	return errs
+}
+
+// A check of the form of answers must not cost an instance what the platform says.
+func TestSoundFormsOfThePlatform(t *testing.T) {
+	for _, fo := range answerfake.Sound() {
+		for call, err := range sendForm(t, fo) {
+			if fo.Status == http.StatusOK {
+				NewWithT(t).Expect(err).NotTo(HaveOccurred(), "%s, %s", call, fo.Name)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/upstream/broken_answer_test.go
@@ -0,0 +1,38 @@
+package upstream
+
+import (
+	"net/http"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"filbertstall.example/filbertstall/internal/answerfake"
+)
+
+// exchangeForm makes a call whose answer has a form, and returns it with its body.
+func exchangeForm(t *testing.T, fo answerfake.Form) (*Answer, string, error) {
+	t.Helper()
+	address := answerfake.Serve(t, func(re *http.Request) string {
+		return fo.Answer("Id: "+re.Header.Get("Id")+"\r\n", "hello")
+	})
+	an, err := newPool().Do(t.Context(), Call{Address: address, Method: "GET", Target: "/x", Host: "h", ID: "1", Headers: []Header{{"Id", "1"}}})
+	if err != nil {
+		return nil, "", err
+	}
+	defer an.Close()
+	body, err := an.ReadAll(100)
+	return an, string(body), err
+}
+
+// A check of the form of answers must not cost a caller a sound answer.
+func TestSoundFormsOfAnswers(t *testing.T) {
+	for _, fo := range answerfake.Sound() {
+		t.Run(fo.Name, func(t *testing.T) {
+			g := NewWithT(t)
+			an, body, err := exchangeForm(t, fo)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(an.Status).To(Equal(fo.Status))
+			g.Expect(body == "hello").To(Equal(!fo.NoBody), body)
+		})
+	}
+}
