http1: an answer with status 000 reaches callers as 200

Cause: answers are read by the parser of the HTTP library, which takes more than HTTP/1.1 allows and returns what it made of it. Status 000 is stored as 0, which the library gives out as 200. It is one of a class: 600 and 999 passed; statuses under 100 and 101 were skipped as interim answers, so that an answer behind such a head was taken; versions 0.9 and 2.0 passed.

Change: the new package internal/http1 checks the bytes of a head against the form of the status line in RFC 9112 and the statuses of RFC 9110 (100 to 599) before the library parses them. ReadHead is at the one place that all answers of upstream.Pool pass (calls, streams, forwards, probes, reports, orders) and all streams of endpoint.Client. The clients whose library reads by itself pass through a connection with the same check, also over TLS: endpoint.Client at "serve", both clients of a store, the command line. pkg/client uses another library and checks what that accepts (000, 600, 101, "+20"). 101 is no answer: no call asks for another protocol.

Why it works: the check sees the bytes, not what a parser made of them, and nothing of an answer that fails it is returned. The call is lost: 502 for a request that must not run twice, a further attempt for one that may.

Looked at without a finding: messages between instances (gob, net/rpc, no HTTP).

--- a/internal/answerfake/form.go
+++ b/internal/answerfake/form.go
@@ -48,3 +48,20 @@
 		{Name: "unknown fields", Status: 200, text: "HTTP/1.1 200 OK|FIELDSX-Odd_1.~!#$&'*+^`%: 1|x-odd:|X:\t\xe9 2\t|Content-Length:LENGTH||BODY"},
 	}
 }
+
+// BrokenStatuses returns forms whose status line the protocol does not allow.
+func BrokenStatuses() []Form {
+	var list []Form
+	for _, line := range []string{
+		"HTTP/1.1 000 OK", "HTTP/1.1 001 OK", "HTTP/1.1 099 OK", "HTTP/1.1 101 Switching Protocols", "HTTP/1.1 600 OK", "HTTP/1.1 999 OK",
+		"HTTP/1.1 20 OK", "HTTP/1.1 2000 OK", "HTTP/1.1 2x0 OK", "HTTP/1.1 +20 OK", "HTTP/1.1 200\tOK",
+		"HTTP/2.0 200 OK", "HTTP/0.9 200 OK", "HTTP/1.10 200 OK", "http/1.1 200 OK", "ICY 200 OK", " HTTP/1.1 200 OK", "HTTP/1.1\t200 OK",
+	} {
+		list = append(list, Form{Name: line, text: line + "|FIELDSContent-Length: LENGTH||BODY"})
+	}
+	// A parser that skips the first head finds an answer behind it.
+	for _, status := range []string{"000", "050", "101"} {
+		list = append(list, Form{Name: status + " before an answer", text: "HTTP/1.1 " + status + " OK||HTTP/1.1 200 OK|FIELDSContent-Length: LENGTH||BODY"})
+	}
+	return list
+}
--- a/internal/command/broken_answer_test.go
+++ b/internal/command/broken_answer_test.go
@@ -29,3 +29,18 @@
 		NewWithT(t).Expect(err == nil).To(Equal(fo.Status == http.StatusOK), fo.Name)
 	}
 }
+
+// expectLost sends requests whose answers are broken.
+func expectLost(t *testing.T, forms []answerfake.Form) {
+	t.Helper()
+	for _, fo := range forms {
+		t.Run(fo.Name, func(t *testing.T) {
+			lost, err := askForm(t, fo)
+			NewWithT(t).Expect(err).To(HaveOccurred())
+			NewWithT(t).Expect(lost).To(BeTrue(), "%v", err)
+		})
+	}
+}
+
+// A plan whose answer had status 000 counted as made.
+func TestBrokenStatusOfAnInstance(t *testing.T) { expectLost(t, answerfake.BrokenStatuses()) }
--- a/internal/command/client.go
+++ b/internal/command/client.go
@@ -14,6 +14,7 @@
 	"github.com/valyala/fasthttp"
 
 	"filbertstall.example/filbertstall/internal/control"
+	"filbertstall.example/filbertstall/internal/http1"
 	"filbertstall.example/filbertstall/internal/refusal"
 )
 
@@ -46,7 +47,7 @@
 func (co conflictError) Error() string { return "refused: " + co.Conflict }
 
 func (ac *operatorAccess) client() (*fasthttp.Client, error) {
-	cl := &fasthttp.Client{NoDefaultUserAgentHeader: true}
+	cl := &fasthttp.Client{NoDefaultUserAgentHeader: true, ConfigureClient: http1.Configure}
 	if ac.CAFile == "" {
 		return cl, nil
 	}
--- a/internal/endpoint/broken_answer_test.go
+++ b/internal/endpoint/broken_answer_test.go
@@ -77,3 +77,22 @@
 		}
 	}
 }
+
+// expectLost makes calls whose answers are broken. No call may take them for answers.
+func expectLost(t *testing.T, forms []answerfake.Form) {
+	t.Helper()
+	for _, ca := range formCalls {
+		for _, fo := range forms {
+			t.Run(ca.name+"/"+fo.Name, func(t *testing.T) {
+				g := NewWithT(t)
+				_, err := ca.call(&Client{}, serveForm(t, fo, ca.body))
+				var er *Error
+				g.Expect(errors.As(err, &er)).To(BeTrue(), "%v", err)
+				g.Expect(er.Kind).To(Equal(Lost), "the request may have run")
+			})
+		}
+	}
+}
+
+// An answer with status 000 was taken for one with status 200.
+func TestBrokenStatusIsNoAnswer(t *testing.T) { expectLost(t, answerfake.BrokenStatuses()) }
--- a/internal/endpoint/client.go
+++ b/internal/endpoint/client.go
@@ -13,6 +13,7 @@
 	"github.com/valyala/fasthttp"
 
 	"filbertstall.example/filbertstall/internal/buffer"
+	"filbertstall.example/filbertstall/internal/http1"
 	"filbertstall.example/filbertstall/internal/readlimit"
 )
 
@@ -52,7 +53,7 @@
 		cl.http = &fasthttp.Client{
 			RetryIfErr: neverRetry, NoDefaultUserAgentHeader: true, MaxConnsPerHost: maxConnsPerEndpoint,
 			StreamResponseBody: true, Dial: cl.dialLimited, MaxIdemponentCallAttempts: 1,
-			DisablePathNormalizing: true,
+			DisablePathNormalizing: true, ConfigureClient: http1.Configure,
 		}
 	})
 }
--- a/internal/endpoint/connection.go
+++ b/internal/endpoint/connection.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"filbertstall.example/filbertstall/internal/http1"
 )
 
 // streamReceiveBufferBytes is the size of the socket's receive buffer. It limits
@@ -19,12 +21,8 @@
 
 var writerPool = sync.Pool{New: func() any { return bufio.NewWriterSize(nil, streamBufferBytes) }}
 
-const (
-	// minFinalStatus is the lowest status of an answer that is not an interim one.
-	minFinalStatus = 200
-	// maxInterimAnswers is the maximum number of interim answers before the final one.
-	maxInterimAnswers = 8
-)
+// maxInterimAnswers is the maximum number of interim answers before the final one.
+const maxInterimAnswers = 8
 
 var errTooManyInterim = errors.New("the endpoint sends interim answers only")
 
@@ -95,10 +93,10 @@
 	}
 	for range maxInterimAnswers + 1 {
 		var head fasthttp.ResponseHeader
-		if err := head.Read(st.raw); err != nil {
+		if err := http1.ReadHead(st.raw, &head); err != nil {
 			return err
 		}
-		if head.StatusCode() < minFinalStatus {
+		if head.StatusCode() < http1.MinFinalStatus {
 			continue
 		}
 		st.status = head.StatusCode()
--- /dev/null
+++ b/internal/http1/conn_test.go
@@ -0,0 +1,95 @@
+package http1
+
+import (
+	"bufio"
+	"crypto/tls"
+	"crypto/x509"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/iotest"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/valyala/fasthttp"
+
+	"filbertstall.example/filbertstall/internal/answerfake"
+)
+
+// broken are all forms that the protocol does not allow.
+func broken() []answerfake.Form { return answerfake.BrokenStatuses() }
+
+// ask makes a call, with TLS or without.
+func ask(t *testing.T, fo answerfake.Form, secured bool) (*fasthttp.Response, error) {
+	t.Helper()
+	backend := httptest.NewUnstartedServer(nil)
+	backend.StartTLS()
+	defer backend.Close()
+	address := answerfake.ServeRaw(t, func(tc *net.TCPConn) {
+		var conn net.Conn = tc
+		if secured {
+			conn = tls.Server(tc, &tls.Config{Certificates: backend.TLS.Certificates, MinVersion: tls.VersionTLS12})
+			defer func() { _ = conn.Close() }()
+		}
+		re, err := http.ReadRequest(bufio.NewReader(conn))
+		if err == nil {
+			_, _ = io.Copy(io.Discard, re.Body)
+			_, _ = io.WriteString(conn, fo.Answer("", "hello"))
+		}
+	})
+	roots := x509.NewCertPool()
+	roots.AddCert(backend.Certificate())
+	client := &fasthttp.Client{
+		ConfigureClient: Configure, TLSConfig: &tls.Config{RootCAs: roots, MinVersion: tls.VersionTLS12},
+		RetryIfErr: func(*fasthttp.Request, int, error) (resetTimeout, retry bool) { return false, false },
+	}
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	scheme := map[bool]string{false: "http", true: "https"}[secured]
+	req.SetRequestURI(scheme + "://" + address + "/x")
+	req.Header.SetMethod(http.MethodPost)
+	req.SetBody(make([]byte, 100<<10))
+	return resp, client.DoTimeout(req, resp, 5*time.Second)
+}
+
+// Clients whose library reads the answer itself got broken answers, with TLS as without.
+func TestConnChecksAnswers(t *testing.T) {
+	for name, secured := range map[string]bool{"plain": false, "tls": true} {
+		for _, fo := range answerfake.Sound() {
+			t.Run(name+"/"+fo.Name, func(t *testing.T) {
+				g := NewWithT(t)
+				resp, err := ask(t, fo, secured)
+				g.Expect(err).NotTo(HaveOccurred())
+				g.Expect(resp.StatusCode()).To(Equal(fo.Status))
+				g.Expect(string(resp.Body()) == "hello").To(Equal(!fo.NoBody))
+			})
+		}
+		for _, fo := range broken() {
+			t.Run(name+"/"+fo.Name, func(t *testing.T) {
+				_, err := ask(t, fo, secured)
+				NewWithT(t).Expect(err).To(HaveOccurred())
+			})
+		}
+	}
+}
+
+// A head is checked in the same way however its bytes arrive.
+func TestReadHeadByteByByte(t *testing.T) {
+	read := func(fo answerfake.Form) error {
+		rd := bufio.NewReader(iotest.OneByteReader(strings.NewReader(fo.Answer("", "hello"))))
+		var head fasthttp.ResponseHeader
+		for {
+			if err := ReadHead(rd, &head); err != nil || head.StatusCode() >= MinFinalStatus {
+				return err
+			}
+		}
+	}
+	for _, fo := range answerfake.Sound() {
+		NewWithT(t).Expect(read(fo)).To(Succeed(), fo.Name)
+	}
+	for _, fo := range broken() {
+		NewWithT(t).Expect(read(fo)).To(MatchError(ErrMalformed), fo.Name)
+	}
+}
--- /dev/null
+++ b/internal/http1/head.go
@@ -0,0 +1,182 @@
+package http1
+
+import (
+	"errors"
+	"fmt"
+)
+
+// ErrMalformed is returned for a head that does not have the form of HTTP/1.1.
+var ErrMalformed = errors.New("http1: the head of the answer is malformed")
+
+func malformed(detail string) error { return fmt.Errorf("%w: %s", ErrMalformed, detail) }
+
+// part is a part of a head in which the next byte is due.
+type part int
+
+const (
+	// start is the first byte of the status line, or of an empty line before it. Servers
+	// leave such lines behind the body of the answer before.
+	start part = iota
+	startEnd
+	// version, code and reason are parts of the status line.
+	version
+	code
+	reason
+	reasonEnd
+	// line is the first byte of a field line, or of the empty line that ends the head.
+	line
+	field
+	emptyEnd
+	whole
+)
+
+// versionPrefix is the beginning of all versions of HTTP whose answers have this form.
+const versionPrefix = "HTTP/1."
+
+const (
+	minStatus = 100
+	maxStatus = 599
+	// MinFinalStatus is the lowest status of an answer that no other one follows.
+	MinFinalStatus = 200
+	codeDigits     = 3
+)
+
+// Head checks the head of an answer while its bytes arrive. The zero value expects the first
+// byte.
+type Head struct {
+	part part
+	// offset is the number of bytes of the present part that were checked.
+	offset int
+	status int
+}
+
+// Whole reports whether the head has been checked to its end.
+func (he *Head) Whole() bool { return he.part == whole }
+
+// IsInterim reports whether another head follows the one that was checked.
+func (he *Head) IsInterim() bool { return he.Whole() && he.status < MinFinalStatus }
+
+// Check checks bytes up to the end of the head and returns their number.
+func (he *Head) Check(data []byte) (int, error) {
+	for ix, ch := range data {
+		if he.part == whole {
+			return ix, nil
+		}
+		if err := he.check(ch); err != nil {
+			return ix, err
+		}
+	}
+	return len(data), nil
+}
+
+func (he *Head) check(ch byte) error {
+	switch he.part {
+	case start:
+		if ch == '\r' {
+			return he.enter(startEnd)
+		}
+		he.part = version
+		return he.checkVersion(ch)
+	case startEnd:
+		return he.endLine(ch, start)
+	case version:
+		return he.checkVersion(ch)
+	case code:
+		return he.checkCode(ch)
+	case reason:
+		return he.checkReason(ch)
+	case reasonEnd:
+		return he.endLine(ch, line)
+	default:
+		return he.checkField(ch)
+	}
+}
+
+// enter begins a part.
+func (he *Head) enter(next part) error {
+	he.part, he.offset = next, 0
+	return nil
+}
+
+// endLine checks the second byte of a line break.
+func (he *Head) endLine(ch byte, next part) error {
+	if ch != '\n' {
+		return malformed("a carriage return ends no line")
+	}
+	return he.enter(next)
+}
+
+// checkVersion checks a byte of the version and of the space behind it.
+func (he *Head) checkVersion(ch byte) error {
+	const minor = len(versionPrefix)
+	switch {
+	case he.offset < minor && ch == versionPrefix[he.offset]:
+	case he.offset == minor && isDigit(ch):
+	case he.offset == minor+1 && ch == ' ':
+		return he.enter(code)
+	default:
+		return malformed("it begins with no version of HTTP/1")
+	}
+	he.offset++
+	return nil
+}
+
+// checkCode checks a byte of the status code and the one behind it. Many servers leave out the
+// space before an empty reason, and a client may accept several spaces before the code.
+func (he *Head) checkCode(ch byte) error {
+	if he.offset == 0 && ch == ' ' {
+		return nil
+	}
+	if he.offset < codeDigits {
+		if !isDigit(ch) {
+			return malformed("the status is no number of three digits")
+		}
+		he.status = he.status*10 + int(ch-'0')
+		he.offset++
+		return nil
+	}
+	if he.status < minStatus || he.status > maxStatus {
+		return malformed(fmt.Sprintf("there is no status %03d", he.status))
+	}
+	// No call asks for another protocol, in which what follows would be.
+	const switchingProtocols = 101
+	if he.status == switchingProtocols {
+		return malformed("the status means that another protocol follows")
+	}
+	switch ch {
+	case ' ':
+		return he.enter(reason)
+	case '\r', '\n':
+		return he.checkReason(ch)
+	default:
+		return malformed("the status is no number of three digits")
+	}
+}
+
+// checkReason checks a byte of the reason phrase.
+func (he *Head) checkReason(ch byte) error {
+	switch ch {
+	case '\r':
+		return he.enter(reasonEnd)
+	case '\n':
+		return he.enter(line)
+	}
+	return nil
+}
+
+// checkField checks a byte of a field line.
+func (he *Head) checkField(ch byte) error {
+	switch {
+	case he.part == line && ch == '\r':
+		he.part = emptyEnd
+	case ch == '\n' && he.part != field:
+		he.part = whole
+	case ch == '\n':
+		he.part = line
+	default:
+		he.part = field
+	}
+	return nil
+}
+
+func isDigit(ch byte) bool { return '0' <= ch && ch <= '9' }
--- a/internal/platform/broken_answer_test.go
+++ b/internal/platform/broken_answer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"testing"
 
@@ -38,3 +39,25 @@
 		}
 	}
 }
+
+// expectNoAnswer makes calls whose answers are broken: nothing is known of a write.
+func expectNoAnswer(t *testing.T, forms []answerfake.Form) {
+	t.Helper()
+	for _, fo := range forms {
+		t.Run(fo.Name, func(t *testing.T) {
+			g := NewWithT(t)
+			for call, err := range sendForm(t, fo) {
+				want := platform.Unavailable
+				if call == "update" || call == "delete" {
+					want = platform.Unknown
+				}
+				var er *platform.Error
+				g.Expect(errors.As(err, &er)).To(BeTrue(), call)
+				g.Expect(er.Kind).To(Equal(want), call)
+			}
+		})
+	}
+}
+
+// An answer with status 000 counted as one with status 200.
+func TestBrokenStatusOfThePlatform(t *testing.T) { expectNoAnswer(t, answerfake.BrokenStatuses()) }
--- a/internal/platform/http.go
+++ b/internal/platform/http.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"filbertstall.example/filbertstall/internal/http1"
 )
 
 const (
@@ -41,6 +43,7 @@
 var defaultClient = &fasthttp.Client{
 	NoDefaultUserAgentHeader: true,
 	MaxResponseBodySize:      64 << 20,
+	ConfigureClient:          http1.Configure,
 	RetryIfErr:               func(*fasthttp.Request, int, error) (resetTimeout, retry bool) { return false, false },
 }
 
--- a/internal/upstream/answer.go
+++ b/internal/upstream/answer.go
@@ -12,6 +12,7 @@
 	"github.com/valyala/fasthttp"
 
 	"filbertstall.example/filbertstall/internal/buffer"
+	"filbertstall.example/filbertstall/internal/http1"
 )
 
 // Answer is the answer to a call. The caller of Do must close it.
@@ -50,7 +51,7 @@
 
 // readHead reads the head of an answer.
 func readHead(rd *bufio.Reader, head *fasthttp.ResponseHeader) error {
-	if err := head.Read(rd); err != nil {
+	if err := http1.ReadHead(rd, head); err != nil {
 		return err
 	}
 	if head.Len() > maxAnswerFields {
--- a/internal/upstream/broken_answer_test.go
+++ b/internal/upstream/broken_answer_test.go
@@ -36,3 +36,18 @@
 		})
 	}
 }
+
+func expectLost(t *testing.T, forms []answerfake.Form) {
+	t.Helper()
+	for _, fo := range forms {
+		t.Run(fo.Name, func(t *testing.T) {
+			g := NewWithT(t)
+			_, body, err := exchangeForm(t, fo)
+			g.Expect(err).To(HaveOccurred(), "got %q", body)
+			g.Expect(KindOf(err)).To(Equal(Lost), "the request may have run")
+		})
+	}
+}
+
+// An answer with status 000 was taken for one with status 200.
+func TestBrokenStatusIsNoAnswer(t *testing.T) { expectLost(t, answerfake.BrokenStatuses()) }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -13,6 +13,8 @@
 
 	"github.com/jonboulle/clockwork"
 	"github.com/valyala/fasthttp"
+
+	"filbertstall.example/filbertstall/internal/http1"
 )
 
 const (
@@ -105,7 +107,7 @@
 		if err := readHead(cn.rd, &head); err != nil {
 			return nil, err
 		}
-		if head.StatusCode() < 200 {
+		if head.StatusCode() < http1.MinFinalStatus {
 			continue
 		}
 		an := newAnswer(po, cn, &head, ca.Method)
--- a/pkg/client/call.go
+++ b/pkg/client/call.go
@@ -71,7 +71,7 @@
 	if ca.Key != "" {
 		req.Header.Set("Idempotency-Key", ca.Key)
 	}
-	resp, err := cl.HTTP.Do(req)
+	resp, err := cl.do(req)
 	if err != nil {
 		return Answer{}, transportError("call", err)
 	}
