http1: a blank or control byte in the name of a field reaches callers

Cause: that of status 000. The parser of the HTTP library accepts names with blanks inside and passes them on, cuts blanks off before the colon, and joins a line that begins with a blank to the value before it, also to the signature. The control byte that reached clients is the line feed: an empty line that ends in a bare line feed ends the head for that parser if CR LF CR LF follows anywhere. A name that begins with one cut the head off there, and the rest of the head became the body ("X-Odd: 1 CR LF Content-Length: 5 ..."), or as much of it as a length before it said. Inside a head a bare line feed also passed as the end of a line.

Change: http1.Head checks field lines byte by byte: names are tokens up to the colon, values and the reason have no control byte but tabs, each line ends in CR LF. Continued lines are refused, as RFC 9112 allows a gateway. pkg/client, whose library accepts blanks and line feeds, too, reads through the same check; the check of what that library had made of an answer is gone.

Why it works: whatever the parser would make of such a head, it does not get it.

--- a/internal/answerfake/form.go
+++ b/internal/answerfake/form.go
@@ -65,3 +65,29 @@
 	}
 	return list
 }
+
+// BrokenFields returns forms with a field line that the protocol does not allow, before the
+// field that frames the body and behind it.
+func BrokenFields() []Form {
+	var list []Form
+	for _, line := range brokenLines() {
+		for place, text := range map[string]string{
+			"before": "HTTP/1.1 200 OK|FIELDSLINE|Content-Length: LENGTH||BODY",
+			"behind": "HTTP/1.1 200 OK|FIELDSTransfer-Encoding: chunked|LINE||HEX|BODY|0||",
+		} {
+			list = append(list, Form{Name: fmt.Sprintf("%q %s", line, place), text: strings.Replace(text, "LINE", line, 1)})
+		}
+	}
+	return list
+}
+
+func brokenLines() []string {
+	list := []string{"Content Length: 1", "Content-Length : 1", ": 1", "X-Odd", "X-Odd: \r 1", "X-Odd: 1\r", "X-Odd: 1\nX: 1", "X-Odd: \x00"}
+	for _, ch := range []byte{0, '\t', '\n', '\v', '\r', 0x1b, ' ', 0x7f, '(', 0x80} {
+		const name = "X-Odd"
+		for _, at := range []int{0, 1, len(name)} {
+			list = append(list, name[:at]+string([]byte{ch})+name[at:]+": 1")
+		}
+	}
+	return list
+}
--- a/internal/command/broken_answer_test.go
+++ b/internal/command/broken_answer_test.go
@@ -44,3 +44,6 @@
 
 // A plan whose answer had status 000 counted as made.
 func TestBrokenStatusOfAnInstance(t *testing.T) { expectLost(t, answerfake.BrokenStatuses()) }
+
+// An answer with a blank or a control byte in the name of a field was an answer.
+func TestBrokenFieldOfAnInstance(t *testing.T) { expectLost(t, answerfake.BrokenFields()) }
--- a/internal/endpoint/broken_answer_test.go
+++ b/internal/endpoint/broken_answer_test.go
@@ -96,3 +96,6 @@
 
 // An answer with status 000 was taken for one with status 200.
 func TestBrokenStatusIsNoAnswer(t *testing.T) { expectLost(t, answerfake.BrokenStatuses()) }
+
+// An answer with a blank or a control byte in the name of a field was an answer.
+func TestBrokenFieldIsNoAnswer(t *testing.T) { expectLost(t, answerfake.BrokenFields()) }
--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -13,13 +13,18 @@
 // a write is checked, with the interim ones before it.
 type Conn struct {
 	net.Conn
+	// Once is set if one call is made on the connection. The request may be written while its
+	// answer is read then.
+	Once bool
 
 	head Head
 }
 
 // Write implements net.Conn.
 func (co *Conn) Write(data []byte) (int, error) {
-	co.head = Head{}
+	if !co.Once {
+		co.head = Head{}
+	}
 	return co.Conn.Write(data)
 }
 
--- a/internal/http1/conn_test.go
+++ b/internal/http1/conn_test.go
@@ -20,7 +20,9 @@
 )
 
 // broken are all forms that the protocol does not allow.
-func broken() []answerfake.Form { return answerfake.BrokenStatuses() }
+func broken() []answerfake.Form {
+	return append(answerfake.BrokenStatuses(), answerfake.BrokenFields()...)
+}
 
 // ask makes a call, with TLS or without.
 func ask(t *testing.T, fo answerfake.Form, secured bool) (*fasthttp.Response, error) {
@@ -93,3 +95,29 @@
 		NewWithT(t).Expect(read(fo)).To(MatchError(ErrMalformed), fo.Name)
 	}
 }
+
+// The bytes that a name and a value may have, at any place.
+func TestBytesOfFields(t *testing.T) {
+	check := func(line string) error {
+		var he Head
+		_, err := he.Check([]byte("HTTP/1.1 200 OK\r\n" + line + "\r\n\r\n"))
+		if err == nil && !he.Whole() {
+			err = io.ErrUnexpectedEOF
+		}
+		return err
+	}
+	const tokens = "!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ"
+	for ch := range 0x100 {
+		g, text := NewWithT(t), string([]byte{byte(ch)})
+		isToken := ch < 0x80 && strings.ContainsRune(tokens, rune(ch))
+		for _, name := range []string{text + "ab", "a" + text + "b", "ab" + text} {
+			if ch != ':' {
+				g.Expect(check(name+": 1") == nil).To(Equal(isToken), "%q", name)
+			}
+		}
+		isText := ch == '\t' || ch >= ' ' && ch != 0x7f
+		for _, value := range []string{text + "ab", "a" + text + "b", "ab" + text} {
+			g.Expect(check("a:"+value) == nil).To(Equal(isText), "%q", value)
+		}
+	}
+}
--- a/internal/http1/doc.go
+++ b/internal/http1/doc.go
@@ -1,7 +1,7 @@
 // Package http1 checks that answers have the form that HTTP/1.1 allows.
 //
 // The HTTP library accepts more than that and returns what it made of it: status 000 becomes
-// 200. An answer of another form is not an answer: the call is lost, as if the connection had
+// 200, and a line feed before the name of a field ends the head. An answer of another form is not an answer: the call is lost, as if the connection had
 // ended. The check is of the form only. Unknown statuses from 100 to 599 and unknown fields
 // pass.
 //
--- a/internal/http1/head.go
+++ b/internal/http1/head.go
@@ -3,6 +3,8 @@
 import (
 	"errors"
 	"fmt"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 // ErrMalformed is returned for a head that does not have the form of HTTP/1.1.
@@ -25,8 +27,11 @@
 	reasonEnd
 	// line is the first byte of a field line, or of the empty line that ends the head.
 	line
-	field
 	emptyEnd
+	// name and value are parts of a field line.
+	name
+	value
+	valueEnd
 	whole
 )
 
@@ -84,11 +89,20 @@
 	case code:
 		return he.checkCode(ch)
 	case reason:
-		return he.checkReason(ch)
-	case reasonEnd:
+		return he.checkText(ch, reasonEnd)
+	case reasonEnd, valueEnd:
 		return he.endLine(ch, line)
+	case line:
+		if ch == '\r' {
+			return he.enter(emptyEnd)
+		}
+		return he.checkName(ch)
+	case emptyEnd:
+		return he.endLine(ch, whole)
+	case name:
+		return he.checkName(ch)
 	default:
-		return he.checkField(ch)
+		return he.checkText(ch, valueEnd)
 	}
 }
 
@@ -146,37 +160,39 @@
 	switch ch {
 	case ' ':
 		return he.enter(reason)
-	case '\r', '\n':
-		return he.checkReason(ch)
+	case '\r':
+		return he.enter(reasonEnd)
 	default:
 		return malformed("the status is no number of three digits")
 	}
 }
 
-// checkReason checks a byte of the reason phrase.
-func (he *Head) checkReason(ch byte) error {
-	switch ch {
-	case '\r':
-		return he.enter(reasonEnd)
-	case '\n':
-		return he.enter(line)
+// checkName checks a byte of the name of a field and the colon behind it. A blank at the
+// beginning would continue the line before; such lines are obsolete.
+func (he *Head) checkName(ch byte) error {
+	switch {
+	case ch == ':' && he.part == name:
+		return he.enter(value)
+	case !httpguts.IsTokenRune(rune(ch)):
+		return malformed(fmt.Sprintf("the name of a field has the byte %#02x", ch))
+	default:
+		he.part = name
+		return nil
 	}
-	return nil
 }
 
-// checkField checks a byte of a field line.
-func (he *Head) checkField(ch byte) error {
+// checkText checks a byte of the reason phrase, or of the value of a field, and of the line break
+// behind it.
+func (he *Head) checkText(ch byte, end part) error {
+	const del = 0x7f
 	switch {
-	case he.part == line && ch == '\r':
-		he.part = emptyEnd
-	case ch == '\n' && he.part != field:
-		he.part = whole
-	case ch == '\n':
-		he.part = line
+	case ch == '\r':
+		return he.enter(end)
+	case ch < ' ' && ch != '\t', ch == del:
+		return malformed(fmt.Sprintf("a reason or value has the byte %#02x", ch))
 	default:
-		he.part = field
+		return nil
 	}
-	return nil
 }
 
 func isDigit(ch byte) bool { return '0' <= ch && ch <= '9' }
--- a/internal/platform/broken_answer_test.go
+++ b/internal/platform/broken_answer_test.go
@@ -61,3 +61,6 @@
 
 // An answer with status 000 counted as one with status 200.
 func TestBrokenStatusOfThePlatform(t *testing.T) { expectNoAnswer(t, answerfake.BrokenStatuses()) }
+
+// An answer with a blank or a control byte in the name of a field was an answer.
+func TestBrokenFieldOfThePlatform(t *testing.T) { expectNoAnswer(t, answerfake.BrokenFields()) }
--- a/pkg/client/call.go
+++ b/pkg/client/call.go
@@ -71,7 +71,7 @@
 	if ca.Key != "" {
 		req.Header.Set("Idempotency-Key", ca.Key)
 	}
-	resp, err := cl.do(req)
+	resp, err := cl.HTTP.Do(req)
 	if err != nil {
 		return Answer{}, transportError("call", err)
 	}
--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -21,22 +21,18 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
-
-	"filbertstall.example/filbertstall/internal/http1"
 )
 
 const (
 	defaultIdleTimeout  = 30 * time.Second
 	defaultStartTimeout = 5 * time.Minute
 	defaultMaxAttempts  = 8
-	dialTimeout         = 2 * time.Second
 	// minBackoff and maxBackoff bound the back-off before a retry if the server
 	// sent no Retry-After.
 	minBackoff = 50 * time.Millisecond
@@ -63,7 +59,8 @@
 	// Clock is used for back-off and timeouts. Nil means the real clock.
 	Clock clockwork.Clock
 	// HTTP sends the requests. Nil means a client that opens a new connection for
-	// each request, because an idle connection may die unnoticed.
+	// each request, because an idle connection may die unnoticed, and that takes no answer
+	// whose head or end is malformed.
 	HTTP *http.Client
 
 	once sync.Once
@@ -85,21 +82,11 @@
 			cl.Clock = clockwork.NewRealClock()
 		}
 		if cl.HTTP == nil {
-			cl.HTTP = &http.Client{Transport: &http.Transport{DialContext: dial, DisableKeepAlives: true}}
+			cl.HTTP = &http.Client{Transport: &http.Transport{DialContext: dialPlain, DialTLSContext: dialTLS, DisableKeepAlives: true}}
 		}
 	})
 }
 
-// dial opens a connection whose failure is not taken for the end of an answer.
-func dial(ctx context.Context, network, address string) (net.Conn, error) {
-	dialer := net.Dialer{Timeout: dialTimeout}
-	conn, err := dialer.DialContext(ctx, network, address)
-	if err != nil {
-		return nil, err
-	}
-	return &http1.Duplex{Conn: conn}, nil
-}
-
 // nextEntry returns the next entry instance in round-robin order.
 func (cl *Client) nextEntry() string {
 	return cl.Entries[int(cl.next.Add(1)-1)%len(cl.Entries)]
--- a/pkg/client/form_test.go
+++ b/pkg/client/form_test.go
@@ -2,8 +2,13 @@
 
 import (
 	"context"
+	"encoding/pem"
 	"errors"
+	"io"
 	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
 	"testing"
 
 	. "github.com/onsi/gomega"
@@ -62,13 +67,32 @@
 }
 
 // An answer with status 000 was returned as an answer.
-func TestBrokenStatusIsNoAnswer(t *testing.T) {
-	var forms []answerfake.Form
-	for _, fo := range answerfake.BrokenStatuses() {
-		// A client that its user sets may speak HTTP/2.
-		if fo.Name != "HTTP/2.0 200 OK" {
-			forms = append(forms, fo)
+func TestBrokenStatusIsNoAnswer(t *testing.T) { expectBroken(t, answerfake.BrokenStatuses()) }
+
+// An answer with a blank or a control byte in the name of a field was an answer.
+func TestBrokenFieldIsNoAnswer(t *testing.T) { expectBroken(t, answerfake.BrokenFields()) }
+
+// Answers over TLS are checked, too.
+func TestFormsOverTLS(t *testing.T) {
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(wr http.ResponseWriter, req *http.Request) {
+		conn, _, err := http.NewResponseController(wr).Hijack()
+		if err != nil {
+			return
 		}
+		defer func() { _ = conn.Close() }()
+		_, _ = io.WriteString(conn, "HTTP/1.1 "+req.URL.Query().Get("status")+" OK\r\nContent-Length: 5\r\n\r\nhello")
+	}))
+	server.StartTLS()
+	defer server.Close()
+	file := filepath.Join(t.TempDir(), "ca.pem")
+	pem := pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: server.Certificate().Raw})
+	g := NewWithT(t)
+	g.Expect(os.WriteFile(file, pem, 0o600)).To(Succeed())
+	t.Setenv("SSL_CERT_FILE", file)
+	for status, whole := range map[string]bool{"200": true, "000": false} {
+		cl := &client.Client{Entries: []string{server.URL}, MaxAttempts: 1}
+		an, err := cl.Call(context.Background(), client.Call{Method: http.MethodGet, Service: "s", Path: "/x?status=" + status})
+		g.Expect(err == nil).To(Equal(whole), "%v", err)
+		g.Expect(string(an.Body) == "hello").To(Equal(whole))
 	}
-	expectBroken(t, forms)
 }
--- a/pkg/client/stream.go
+++ b/pkg/client/stream.go
@@ -150,7 +150,7 @@
 		st.Resumes++
 		req.Header.Set("Last-Event-ID", st.id+"/"+strconv.FormatInt(st.offset-1, 10))
 	}
-	resp, err := st.cl.do(req) //nolint:bodyclose // disconnect closes it
+	resp, err := st.cl.HTTP.Do(req) //nolint:bodyclose // disconnect closes it
 	if err != nil {
 		return transportError("generate", err)
 	}
