http1: chunks of HTTP/1.0 reach callers with their framing

What callers saw: nothing reported.

The HTTP library skips Transfer-Encoding in all versions but 1.1 and reads to the end of the connection, or to the length.

Change: http1.Head refuses Transfer-Encoding in other versions. RFC 9112, 6.1: the framing of such an answer is faulty, even if it has a length.

--- a/internal/answerfake/form.go
+++ b/internal/answerfake/form.go
@@ -91,3 +91,14 @@
 	}
 	return list
 }
+
+// BrokenFramings returns forms whose body ends where the protocol cannot say.
+func BrokenFramings() []Form {
+	var list []Form
+	for _, version := range []string{"1.0", "1.2"} {
+		list = append(list,
+			Form{Name: "chunks of HTTP/" + version, text: "HTTP/" + version + " 200 OK|FIELDSTransfer-Encoding: chunked||HEX|BODY|0||"},
+			Form{Name: "chunks and length of HTTP/" + version, text: "HTTP/" + version + " 200 OK|FIELDSContent-Length: LENGTH|TRANSFER-ENCODING: chunked||HEX|BODY|0||"})
+	}
+	return list
+}
--- a/internal/command/broken_answer_test.go
+++ b/internal/command/broken_answer_test.go
@@ -47,3 +47,7 @@
 
 // An answer with a blank or a control byte in the name of a field was an answer.
 func TestBrokenFieldOfAnInstance(t *testing.T) { expectLost(t, answerfake.BrokenFields()) }
+
+// The framing of chunks in an answer of another version than HTTP/1.1 was taken for a part of
+// the body.
+func TestBrokenFramingOfAnInstance(t *testing.T) { expectLost(t, answerfake.BrokenFramings()) }
--- a/internal/http1/conn_test.go
+++ b/internal/http1/conn_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"testing"
 	"testing/iotest"
@@ -21,7 +22,7 @@
 
 // broken are all forms that the protocol does not allow.
 func broken() []answerfake.Form {
-	return append(answerfake.BrokenStatuses(), answerfake.BrokenFields()...)
+	return slices.Concat(answerfake.BrokenStatuses(), answerfake.BrokenFields(), answerfake.BrokenFramings())
 }
 
 // ask makes a call, with TLS or without.
--- a/internal/http1/head.go
+++ b/internal/http1/head.go
@@ -53,8 +53,18 @@
 	// offset is the number of bytes of the present part that were checked.
 	offset int
 	status int
+	// minor is the minor version of HTTP/1, as a digit.
+	minor byte
+	// name is the beginning of the present field's name, in lower case.
+	name [maxKnownName]byte
 }
 
+// maxKnownName is the length of the longest name of a field that is looked at.
+const maxKnownName = len(transferEncoding)
+
+// transferEncoding is the name of the field that says that a body is in chunks.
+const transferEncoding = "transfer-encoding"
+
 // Whole reports whether the head has been checked to its end.
 func (he *Head) Whole() bool { return he.part == whole }
 
@@ -126,6 +136,7 @@
 	switch {
 	case he.offset < minor && ch == versionPrefix[he.offset]:
 	case he.offset == minor && isDigit(ch):
+		he.minor = ch
 	case he.offset == minor+1 && ch == ' ':
 		return he.enter(code)
 	default:
@@ -172,13 +183,32 @@
 func (he *Head) checkName(ch byte) error {
 	switch {
 	case ch == ':' && he.part == name:
+		if err := he.checkKnown(); err != nil {
+			return err
+		}
 		return he.enter(value)
 	case !httpguts.IsTokenRune(rune(ch)):
 		return malformed(fmt.Sprintf("the name of a field has the byte %#02x", ch))
-	default:
-		he.part = name
-		return nil
 	}
+	he.part = name
+	if he.offset < maxKnownName {
+		he.name[he.offset] = lower(ch)
+	}
+	he.offset++
+	return nil
+}
+
+// checkKnown checks a field by its name. Chunks are of HTTP/1.1. The HTTP library takes their framing
+// for the body in any other version.
+func (he *Head) checkKnown() error {
+	if he.isNamed(transferEncoding) && he.minor != '1' {
+		return malformed("chunks in a version that has none")
+	}
+	return nil
+}
+
+func (he *Head) isNamed(known string) bool {
+	return he.offset == len(known) && string(he.name[:he.offset]) == known
 }
 
 // checkText checks a byte of the reason phrase, or of the value of a field, and of the line break
@@ -195,4 +225,11 @@
 	}
 }
 
+func lower(ch byte) byte {
+	if 'A' <= ch && ch <= 'Z' {
+		return ch + 'a' - 'A'
+	}
+	return ch
+}
+
 func isDigit(ch byte) bool { return '0' <= ch && ch <= '9' }
--- a/internal/platform/broken_answer_test.go
+++ b/internal/platform/broken_answer_test.go
@@ -64,3 +64,7 @@
 
 // An answer with a blank or a control byte in the name of a field was an answer.
 func TestBrokenFieldOfThePlatform(t *testing.T) { expectNoAnswer(t, answerfake.BrokenFields()) }
+
+// The framing of chunks in an answer of another version than HTTP/1.1 was taken for a part of
+// the body.
+func TestBrokenFramingOfThePlatform(t *testing.T) { expectNoAnswer(t, answerfake.BrokenFramings()) }
--- a/internal/upstream/broken_answer_test.go
+++ b/internal/upstream/broken_answer_test.go
@@ -55,3 +55,7 @@
 // An answer with a blank or a control byte in the name of a field was an answer, with that line
 // or with another body.
 func TestBrokenFieldIsNoAnswer(t *testing.T) { expectLost(t, answerfake.BrokenFields()) }
+
+// The framing of chunks in an answer of another version than HTTP/1.1 was taken for a part of
+// the body.
+func TestBrokenFramingIsNoAnswer(t *testing.T) { expectLost(t, answerfake.BrokenFramings()) }
--- a/pkg/client/form_test.go
+++ b/pkg/client/form_test.go
@@ -96,3 +96,7 @@
 		g.Expect(string(an.Body) == "hello").To(Equal(whole))
 	}
 }
+
+// The framing of chunks in an answer of another version than HTTP/1.1 was taken for a part of
+// the body.
+func TestBrokenFramingIsNoAnswer(t *testing.T) { expectBroken(t, answerfake.BrokenFramings()) }
