http1: an encoded body reaches callers as a plain one

What callers saw: nothing reported. Such an answer is not the replica's body. "serve" passed the body on with the last of two encodings only.

Cause: as before, what the parser makes of an answer: the HTTP library keeps the last field of several.

Change: http1.Head refuses a second Content-Encoding. A gateway takes no encoded answer anyway; at "serve" such an answer could not be passed on as it came.

Left, also made by that library, of no harm to status, body and signature: a Content-Type where an answer has none, and the last of several Content-Type or Server.

--- a/internal/answerfake/form.go
+++ b/internal/answerfake/form.go
@@ -45,6 +45,7 @@
 		{Name: "not modified", Status: 304, NoBody: true, text: "HTTP/1.1 304 Not Modified|FIELDSContent-Length: LENGTH||"},
 		{Name: "interim answers", Status: 200, text: "HTTP/1.1 100 Continue||HTTP/1.1 103 Early Hints|Link: x||HTTP/1.1 200 OK|FIELDSContent-Length: LENGTH||BODY"},
 		{Name: "empty line before it", Status: 200, text: "|HTTP/1.1 200 OK|FIELDSContent-Length: LENGTH||BODY"},
+		{Name: "empty encoding", Status: 200, text: "HTTP/1.1 200 OK|FIELDSContent-Encoding:|Content-Length: LENGTH||BODY"},
 		{Name: "unknown fields", Status: 200, text: "HTTP/1.1 200 OK|FIELDSX-Odd_1.~!#$&'*+^`%: 1|x-odd:|X:\t\xe9 2\t|Content-Length:LENGTH||BODY"},
 	}
 }
@@ -102,3 +103,11 @@
 	}
 	return list
 }
+
+// BrokenEncodings returns forms whose body is encoded, as a field says that another one follows.
+func BrokenEncodings() []Form {
+	return []Form{
+		{Name: "empty encoding behind gzip", text: "HTTP/1.1 200 OK|FIELDSContent-Encoding: gzip|Content-Encoding:|Content-Length: LENGTH||BODY"},
+		{Name: "br behind gzip", text: "HTTP/1.1 200 OK|FIELDSCONTENT-ENCODING: gzip|X: y|content-encoding: br|Content-Length: LENGTH||BODY"},
+	}
+}
--- a/internal/endpoint/broken_answer_test.go
+++ b/internal/endpoint/broken_answer_test.go
@@ -103,3 +103,7 @@
 // The framing of chunks in an answer of another version than HTTP/1.1 was taken for a part of
 // the body.
 func TestBrokenFramingIsNoAnswer(t *testing.T) { expectLost(t, answerfake.BrokenFramings()) }
+
+// Of two fields that say how a body is encoded, the last one was taken for the only one, so that
+// an encoded body was taken for the endpoint's own.
+func TestBrokenEncodingIsNoAnswer(t *testing.T) { expectLost(t, answerfake.BrokenEncodings()) }
--- a/internal/http1/conn_test.go
+++ b/internal/http1/conn_test.go
@@ -22,7 +22,7 @@
 
 // broken are all forms that the protocol does not allow.
 func broken() []answerfake.Form {
-	return slices.Concat(answerfake.BrokenStatuses(), answerfake.BrokenFields(), answerfake.BrokenFramings())
+	return slices.Concat(answerfake.BrokenStatuses(), answerfake.BrokenFields(), answerfake.BrokenFramings(), answerfake.BrokenEncodings())
 }
 
 // ask makes a call, with TLS or without.
--- a/internal/http1/head.go
+++ b/internal/http1/head.go
@@ -57,13 +57,18 @@
 	minor byte
 	// name is the beginning of the present field's name, in lower case.
 	name [maxKnownName]byte
+	// encoded is set once a field says how the body is encoded.
+	encoded bool
 }
 
 // maxKnownName is the length of the longest name of a field that is looked at.
 const maxKnownName = len(transferEncoding)
 
-// transferEncoding is the name of the field that says that a body is in chunks.
-const transferEncoding = "transfer-encoding"
+// The names of fields that say that a body is in chunks, and how it is encoded.
+const (
+	transferEncoding = "transfer-encoding"
+	contentEncoding  = "content-encoding"
+)
 
 // Whole reports whether the head has been checked to its end.
 func (he *Head) Whole() bool { return he.part == whole }
@@ -198,11 +203,17 @@
 	return nil
 }
 
-// checkKnown checks a field by its name. Chunks are of HTTP/1.1. The HTTP library takes their framing
-// for the body in any other version.
+// checkKnown checks a field by its name. Chunks are of HTTP/1.1; the HTTP library takes their
+// framing for the body in any other version. Of several encodings the library keeps the last,
+// which may be empty, so that an encoded body would be taken for a plain one.
 func (he *Head) checkKnown() error {
-	if he.isNamed(transferEncoding) && he.minor != '1' {
+	switch {
+	case he.isNamed(transferEncoding) && he.minor != '1':
 		return malformed("chunks in a version that has none")
+	case he.isNamed(contentEncoding) && he.encoded:
+		return malformed("the encoding stands in several fields")
+	case he.isNamed(contentEncoding):
+		he.encoded = true
 	}
 	return nil
 }
