http1: a TLS connection that breaks off counts as the end of an answer

What callers saw: nothing reported. This concerns calls of "serve" to engines with https, the command line and pkg/client; the platform speaks without TLS.

Cause: the TLS library returns the end of the connection for the end of what is sent, if it comes between two records.

Change: http1.TLSClient gives that library an error in place of the end, which it passes on. Its own end, after the alert, is as before (RFC 9112, 9.8).

Evidence: both forms without length of http1.TestEndWithoutAlertIsNoEndOfAnAnswer and one case of pkg/client's TestFormsOverTLS failed before. They pass now; answers with a length, in chunks or without a body pass without the alert, and those without a length pass with it.

--- a/internal/endpoint/connection.go
+++ b/internal/endpoint/connection.go
@@ -69,7 +69,7 @@
 	if err != nil {
 		name = host
 	}
-	tc := tls.Client(idle, &tls.Config{ServerName: name, MinVersion: tls.VersionTLS12})
+	tc := http1.TLSClient(idle, &tls.Config{ServerName: name, MinVersion: tls.VersionTLS12})
 	if err := tc.Handshake(); err != nil {
 		_ = conn.Close()
 		return nil, err
--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -79,7 +79,7 @@
 	if !di.isTLS {
 		return &Conn{Conn: conn}, nil
 	}
-	secured := tls.Client(conn, di.configFor(address))
+	secured := TLSClient(conn, di.configFor(address))
 	if timeout > 0 {
 		_ = conn.SetDeadline(time.Now().Add(timeout))
 	}
--- a/internal/http1/conn_test.go
+++ b/internal/http1/conn_test.go
@@ -25,16 +25,25 @@
 	return slices.Concat(answerfake.BrokenStatuses(), answerfake.BrokenFields(), answerfake.BrokenFramings(), answerfake.BrokenEncodings())
 }
 
-// ask makes a call, with TLS or without.
-func ask(t *testing.T, fo answerfake.Form, secured bool) (*fasthttp.Response, error) {
+// The ways in which an endpoint speaks.
+const (
+	plain    = "plain"
+	secured  = "tls"
+	cutShort = "tls without its closing alert"
+)
+
+// ask makes a call.
+func ask(t *testing.T, fo answerfake.Form, way string) (*fasthttp.Response, error) {
 	t.Helper()
 	backend := httptest.NewUnstartedServer(nil)
 	backend.StartTLS()
 	defer backend.Close()
 	address := answerfake.ServeRaw(t, func(tc *net.TCPConn) {
 		var conn net.Conn = tc
-		if secured {
+		if way != plain {
 			conn = tls.Server(tc, &tls.Config{Certificates: backend.TLS.Certificates, MinVersion: tls.VersionTLS12})
+		}
+		if way == secured {
 			defer func() { _ = conn.Close() }()
 		}
 		re, err := http.ReadRequest(bufio.NewReader(conn))
@@ -50,7 +59,10 @@
 		RetryIfErr: func(*fasthttp.Request, int, error) (resetTimeout, retry bool) { return false, false },
 	}
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	scheme := map[bool]string{false: "http", true: "https"}[secured]
+	scheme := "https"
+	if way == plain {
+		scheme = "http"
+	}
 	req.SetRequestURI(scheme + "://" + address + "/x")
 	req.Header.SetMethod(http.MethodPost)
 	req.SetBody(make([]byte, 100<<10))
@@ -59,25 +71,42 @@
 
 // Clients whose library reads the answer itself got broken answers, with TLS as without.
 func TestConnChecksAnswers(t *testing.T) {
-	for name, secured := range map[string]bool{"plain": false, "tls": true} {
+	for _, way := range []string{plain, secured} {
 		for _, fo := range answerfake.Sound() {
-			t.Run(name+"/"+fo.Name, func(t *testing.T) {
+			t.Run(way+"/"+fo.Name, func(t *testing.T) {
 				g := NewWithT(t)
-				resp, err := ask(t, fo, secured)
+				resp, err := ask(t, fo, way)
 				g.Expect(err).NotTo(HaveOccurred())
 				g.Expect(resp.StatusCode()).To(Equal(fo.Status))
 				g.Expect(string(resp.Body()) == "hello").To(Equal(!fo.NoBody))
 			})
 		}
 		for _, fo := range broken() {
-			t.Run(name+"/"+fo.Name, func(t *testing.T) {
-				_, err := ask(t, fo, secured)
+			t.Run(way+"/"+fo.Name, func(t *testing.T) {
+				_, err := ask(t, fo, way)
 				NewWithT(t).Expect(err).To(HaveOccurred())
 			})
 		}
 	}
 }
 
+// An answer without length over TLS was whole where the connection had ended without TLS saying
+// so, as it does if the endpoint ends in the middle of it.
+func TestEndWithoutAlertIsNoEndOfAnAnswer(t *testing.T) {
+	for _, fo := range answerfake.Sound() {
+		t.Run(fo.Name, func(t *testing.T) {
+			g := NewWithT(t)
+			resp, err := ask(t, fo, cutShort)
+			if !strings.Contains(fo.Name, "no length") && !strings.Contains(fo.Name, "without length") {
+				g.Expect(err).NotTo(HaveOccurred())
+				g.Expect(resp.StatusCode()).To(Equal(fo.Status))
+				return
+			}
+			g.Expect(err).To(HaveOccurred(), "%q", resp.Body())
+		})
+	}
+}
+
 // A head is checked in the same way however its bytes arrive.
 func TestReadHeadByteByByte(t *testing.T) {
 	read := func(fo answerfake.Form) error {
--- a/pkg/client/dial.go
+++ b/pkg/client/dial.go
@@ -40,7 +40,7 @@
 	if err != nil {
 		host = address
 	}
-	secured := tls.Client(conn, &tls.Config{ServerName: host, MinVersion: tls.VersionTLS12})
+	secured := http1.TLSClient(conn, &tls.Config{ServerName: host, MinVersion: tls.VersionTLS12})
 	if err := secured.HandshakeContext(ctx); err != nil {
 		_ = conn.Close()
 		return nil, err
--- a/pkg/client/form_test.go
+++ b/pkg/client/form_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"encoding/pem"
 	"errors"
 	"io"
@@ -72,7 +73,7 @@
 // An answer with a blank or a control byte in the name of a field was an answer.
 func TestBrokenFieldIsNoAnswer(t *testing.T) { expectBroken(t, answerfake.BrokenFields()) }
 
-// Answers over TLS are checked, too.
+// Answers over TLS are checked, too, and one without length ends only where TLS says so.
 func TestFormsOverTLS(t *testing.T) {
 	server := httptest.NewUnstartedServer(http.HandlerFunc(func(wr http.ResponseWriter, req *http.Request) {
 		conn, _, err := http.NewResponseController(wr).Hijack()
@@ -80,7 +81,10 @@
 			return
 		}
 		defer func() { _ = conn.Close() }()
-		_, _ = io.WriteString(conn, "HTTP/1.1 "+req.URL.Query().Get("status")+" OK\r\nContent-Length: 5\r\n\r\nhello")
+		_, _ = io.WriteString(conn, "HTTP/1.1 "+req.URL.Query().Get("status")+" OK\r\n"+req.URL.Query().Get("length")+"\r\n\r\nhello")
+		if tc, isTLS := conn.(*tls.Conn); isTLS && req.URL.Query().Has("cut") {
+			_ = tc.NetConn().Close()
+		}
 	}))
 	server.StartTLS()
 	defer server.Close()
@@ -89,10 +93,13 @@
 	g := NewWithT(t)
 	g.Expect(os.WriteFile(file, pem, 0o600)).To(Succeed())
 	t.Setenv("SSL_CERT_FILE", file)
-	for status, whole := range map[string]bool{"200": true, "000": false} {
+	const length = "&length=Content-Length:+5"
+	for query, whole := range map[string]bool{
+		"status=200" + length: true, "status=000" + length: false, "status=200&cut" + length: true, "status=200&length=X:+1": true, "status=200&length=X:+1&cut": false,
+	} {
 		cl := &client.Client{Entries: []string{server.URL}, MaxAttempts: 1}
-		an, err := cl.Call(context.Background(), client.Call{Method: http.MethodGet, Service: "s", Path: "/x?status=" + status})
-		g.Expect(err == nil).To(Equal(whole), "%v", err)
+		an, err := cl.Call(context.Background(), client.Call{Method: http.MethodGet, Service: "s", Path: "/x?" + query})
+		g.Expect(err == nil).To(Equal(whole), "%s: %v", query, err)
 		g.Expect(string(an.Body) == "hello").To(Equal(whole))
 	}
 }
