endpoint: a stream that ends early is lost (held)

TestStreamThatEndsEarlyIsLost cuts a generation at each byte before its last event, by its length, chunks or connection.

--- a/internal/endpoint/broken_answer_test.go
+++ b/internal/endpoint/broken_answer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"testing"
@@ -107,3 +108,29 @@
 // Of two fields that say how a body is encoded, the last one was taken for the only one, so that
 // an encoded body was taken for the endpoint's own.
 func TestBrokenEncodingIsNoAnswer(t *testing.T) { expectLost(t, answerfake.BrokenEncodings()) }
+
+// A stream that ends before its last event is lost, wherever and however it ends.
+func TestStreamThatEndsEarlyIsLost(t *testing.T) {
+	const stream, end = "id: g/0\ndata: x\n\nid: g/1\ndata: y\n\ndata: [DONE]\n\n", "\n\n"
+	for cut := range len(stream) - len(end) {
+		for name, answer := range map[string]string{
+			"before its length":     fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(stream), stream[:cut]),
+			"with its length":       fmt.Sprintf("Content-Length: %d\r\n\r\n%s", cut, stream),
+			"with the connection":   "\r\n" + stream[:cut],
+			"before its last chunk": fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", max(cut, 1), stream[:max(cut, 1)]),
+			"with its last chunk":   fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", max(cut, 1), stream[:max(cut, 1)]),
+		} {
+			g := NewWithT(t)
+			url := "http://" + answerfake.Serve(t, func(*http.Request) string { return "HTTP/1.1 200 OK\r\n" + answer })
+			st, err := (&Client{}).Generate(url, Generation{ID: "g", Path: "/v1/completions"})
+			g.Expect(err).NotTo(HaveOccurred())
+			for err == nil {
+				err = st.Next(&Event{})
+			}
+			st.Close()
+			var er *Error
+			g.Expect(errors.As(err, &er)).To(BeTrue(), "%s at %d: %v", name, cut, err)
+			g.Expect(er.Kind).To(Equal(Lost), "%s at %d", name, cut)
+		}
+	}
+}
