--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/tls"
+	"errors"
 	"net"
 	"time"
 
@@ -83,11 +84,11 @@
 	if timeout > 0 {
 		_ = conn.SetDeadline(time.Now().Add(timeout))
 	}
-	if err := secured.Handshake(); err != nil {
+	if err := errors.Join(secured.Handshake(), conn.SetDeadline(time.Time{})); err != nil {
 		_ = conn.Close()
 		return nil, err
 	}
-	return secureConn{Conn: &Conn{Conn: secured}, secured: secured}, conn.SetDeadline(time.Time{})
+	return secureConn{Conn: &Conn{Conn: secured}, secured: secured}, nil
 }
 
 func (di dialer) open(address string, timeout time.Duration) (net.Conn, error) {
--- a/internal/upstream/reset_test.go
+++ b/internal/upstream/reset_test.go
@@ -51,8 +51,8 @@
 	}
 }
 
-// An answer whose own framing shows that it is whole is whole, whatever becomes of the
-// connection then.
+// An answer whose own framing shows that it is whole is whole, however the connection
+// ends.
 func TestEndOfTheConnectionBehindAWholeAnswer(t *testing.T) {
 	for _, en := range answerfake.Endings() {
 		for framing, answer := range map[string][2]string{
