upstream: requests of up to 4 KB are written with write again

Cause: wrote all requests through net.Buffers, also those in one piece. That is writev, for which the race detector has no order between the two ends of a connection, as it has for write and read (syscall.Write releases, syscall.Read acquires). The tests set what their replica answers before they send a request, and are ordered by it. The product has no race there.

Change: http1.Duplex.Write calls Write of the connection, and upstream uses it for requests that are in one piece, as before. Longer ones were written with net.Buffers before, too.

--- a/internal/http1/duplex.go
+++ b/internal/http1/duplex.go
@@ -30,9 +30,10 @@
 // Write implements net.Conn. An answer that ends between two writes of its request, and is reset
 // after that, counts as whole.
 func (du *Duplex) Write(data []byte) (int, error) {
-	buffers := net.Buffers{data}
-	count, err := du.WriteBuffers(&buffers)
-	return int(count), err
+	du.writing.Lock()
+	defer du.writing.Unlock()
+	count, err := du.Conn.Write(data)
+	return count, du.wrote(err)
 }
 
 // WriteBuffers writes a whole request.
@@ -40,10 +41,15 @@
 	du.writing.Lock()
 	defer du.writing.Unlock()
 	count, err := request.WriteTo(du.Conn)
-	if err != nil && du.failure == nil {
+	return count, du.wrote(err)
+}
+
+// wrote records the error of a write, which may be nil, and returns it.
+func (du *Duplex) wrote(err error) error {
+	if du.failure == nil {
 		du.failure = err
 	}
-	return count, err
+	return err
 }
 
 // Read implements net.Conn. At the end of the connection it ends the writing, too.
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -95,16 +95,21 @@
 		cn.carried = append(cn.carried, hashID(ca.ID))
 	}
 	cn.writeState.Store(writing)
-	if len(ca.Body) > asyncWriteBytes {
-		request := net.Buffers{ca.head(), ca.Body}
-		go func() { _ = cn.write(request) }()
-		return nil
+	if len(ca.Body) <= asyncWriteBytes {
+		_, err := cn.duplex.Write(append(ca.head(), ca.Body...))
+		return cn.wrote(err)
 	}
-	return cn.write(net.Buffers{append(ca.head(), ca.Body...)})
+	request := net.Buffers{ca.head(), ca.Body}
+	go func() {
+		_, err := cn.duplex.WriteBuffers(&request)
+		_ = cn.wrote(err)
+	}()
+	return nil
 }
 
-func (cn *conn) write(request net.Buffers) error {
-	if _, err := cn.duplex.WriteBuffers(&request); err != nil {
+// wrote records whether the request was written, and returns the error.
+func (cn *conn) wrote(err error) error {
+	if err != nil {
 		cn.writeState.Store(writeFailed)
 		return err
 	}
