routing: a list of teams without a team opens all routes

Cause: routing.New took "the list has no team" for "there is no list" (len(sp.Teams) > 0), and the decoder had dropped the difference: [], null and no member all became a nil slice. NeedsKey was then false for all routes, and dispatch passed credentials on. Instances that started after that version did the same, so it is no matter of remembered state.

Where the settings have the contract `tenants`, a configuration without the list has no valid key either (gateway.Settings.RequireKeys); this rests on the settings, not on what an instance saw, so that one that starts later decides the same. Public routes are served, no key is passed on, and a key that a later version gives back works. admitTeam was split from admit.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -66,6 +66,9 @@
 	// Shutdown decides which requests are served while the instance shuts down. If it is
 	// nil, all are.
 	Shutdown *shutdown.Schedule
+	// RequireKeys is set if callers have keys by the rules of the deployment, also while the
+	// configuration has no list of teams. No key is valid then.
+	RequireKeys bool
 	// Alone reports whether no other instance of the zone is known to take requests. If it
 	// is nil, there is one.
 	Alone func() bool
@@ -98,8 +101,8 @@
 	team    string
 	// priority is the rank of the request; 0 is the most urgent.
 	priority int
-	// passCredential is set if no team is configured. Endpoints then check
-	// credentials themselves.
+	// passCredential is set if callers need no keys. Endpoints then check credentials
+	// themselves.
 	passCredential bool
 	deadline       time.Time
 	// sentAt is when the last attempt was sent, answer its answer in progress, and judged
@@ -184,19 +187,9 @@
 	if bound := cf.Limits().BodyBytes; bound > 0 && len(re.Body) > bound {
 		return nil, refusal.New(refusal.TooLarge, "the body is over "+strconv.Itoa(bound)+" bytes")
 	}
-	ta := &task{Request: re, route: route, priority: route.Priority, passCredential: !cf.HasTeams()}
-	if cf.NeedsKey(route) {
-		team, known := cf.Team(re.Key)
-		switch {
-		case !re.HasKey || !known:
-			return nil, di.deny(age, refusal.New(refusal.Unauthenticated, "the key is not known"))
-		case age > di.MaxAges().Key:
-			return nil, di.staleRefusal(age, "keys")
-		}
-		ta.team = team.Name
-		if team.HasPriority {
-			ta.priority = team.Priority
-		}
+	ta := &task{Request: re, route: route, priority: route.Priority, passCredential: !di.RequireKeys && !cf.HasTeams()}
+	if er := di.admitTeam(ta, cf, age); er != nil {
+		return nil, er
 	}
 	ta.service, found = cf.Service(route.ServiceOf(re.ID))
 	if !found {
@@ -209,6 +202,26 @@
 	return ta, nil
 }
 
+// admitTeam finds the team of a request by its key, if the route needs one. The configuration
+// has the given age.
+func (di *Dispatcher) admitTeam(ta *task, cf *routing.Configuration, age time.Duration) *refusal.Error {
+	if !cf.NeedsKey(ta.route) && (!di.RequireKeys || ta.route.Public) {
+		return nil
+	}
+	team, known := cf.Team(ta.Key)
+	switch {
+	case !ta.HasKey || !known:
+		return di.deny(age, refusal.New(refusal.Unauthenticated, "the key is not known"))
+	case age > di.MaxAges().Key:
+		return di.staleRefusal(age, "keys")
+	}
+	ta.team = team.Name
+	if team.HasPriority {
+		ta.priority = team.Priority
+	}
+	return nil
+}
+
 // Values of Retry-After for refused callers.
 const (
 	startRetryAfter = 300 * time.Millisecond
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -251,7 +251,7 @@
 	hangups := &hangup.Watcher{Clock: gw.Clock}
 	di := &dispatch.Dispatcher{
 		State: &gw.state, Roster: &gw.roster, Tracker: &gw.tracker, Gate: &gw.gate, Codec: gw.Adapter.Codec, Clock: gw.Clock, Log: gw.Log,
-		Budget: se.budget(gw.Clock, gw.instanceCount), MaxAges: gw.maxAges, Informed: gw.isInformed,
+		Budget: se.budget(gw.Clock, gw.instanceCount), MaxAges: gw.maxAges, RequireKeys: se.RequireKeys, Informed: gw.isInformed,
 		Runs: mover, Suspects: gw.suspects, Turns: turns{limiter: &gw.suspectLimiter}, Reachable: gw.pool.Reachable, Progress: engines.Progress, Paths: &gw.paths, Memory: gw.memory.bodies, Shutdown: &gw.shutdown, Meter: &dispatch.Meter{Scope: gw.metrics.Scope},
 	}
 	if gw.rollouts != nil {
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -38,6 +38,9 @@
 	MaxFiles int
 	// Store is the address of the platform's store.
 	Store string
+	// RequireKeys is set if the platform's rules on keys are in force: a configuration
+	// without a list of teams then has no valid key.
+	RequireKeys bool
 	// KeyRevocationBound is the longest time for which an instance may still
 	// accept a key after its revocation. Zero means that there is no such bound.
 	KeyRevocationBound time.Duration
--- a/internal/routing/configuration.go
+++ b/internal/routing/configuration.go
@@ -139,6 +139,9 @@
 	Routes   []Route
 	Services []Service
 	Teams    []Team
+	// HasTeams is set if the configuration has a list of teams. The list may be empty: then
+	// no key is valid.
+	HasTeams bool
 	Limits   Limits
 	// Source is the serialized configuration, which other instances fetch through
 	// package relay and decode.
--- a/internal/routing/match.go
+++ b/internal/routing/match.go
@@ -12,7 +12,7 @@
 // New indexes a specification. It compares host names in lower case.
 func New(sp Spec) *Configuration {
 	cf := &Configuration{
-		Version: sp.Version, limits: sp.Limits, source: sp.Source, hasTeams: len(sp.Teams) > 0,
+		Version: sp.Version, limits: sp.Limits, source: sp.Source, hasTeams: sp.HasTeams || len(sp.Teams) > 0,
 		routes: make(map[string][]Route), services: make(map[string]Service), teams: make(map[string]Team),
 	}
 	for _, ro := range sp.Routes {
@@ -61,11 +61,11 @@
 	return te, found
 }
 
-// NeedsKey reports whether requests of a route must carry a key. No route needs
-// one if no team is configured.
+// NeedsKey reports whether requests of a route must carry a key by the configuration. No route
+// needs one if it has no list of teams; with an empty list, no key is valid.
 func (cf *Configuration) NeedsKey(ro Route) bool { return cf.hasTeams && !ro.Public }
 
-// HasTeams reports whether any team is configured.
+// HasTeams reports whether the configuration has a list of teams, if an empty one.
 func (cf *Configuration) HasTeams() bool { return cf.hasTeams }
 
 // Service returns a service by name.
