operator: a request without a token counts as one with an empty token

A token without the scheme Bearer was taken, too.

Cause: the result of CutPrefix was ignored, so that "no token" and "an empty token" were one value, and TeamByToken looked the empty one up.

Change: the scheme is required, and an empty token (kind.TeamByToken) or key (routing.Team) belongs to no team. The digest stays valid in stored configurations: refusing it there would make the whole configuration of a running deployment unreadable.

Held before: callers' requests of serve, and gateways, where the HTTP library trims the blank behind the scheme.

--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -139,7 +139,10 @@
 	if cf == nil {
 		return nil, refusal.New(refusal.NoConfiguration, "this instance has no configuration yet")
 	}
-	token, _ := strings.CutPrefix(string(ctx.Request.Header.Peek("Authorization")), "Bearer ")
+	token, found := strings.CutPrefix(string(ctx.Request.Header.Peek("Authorization")), "Bearer ")
+	if !found {
+		return nil, refusal.New(refusal.Unauthenticated, "the Authorization header must be: Bearer TOKEN")
+	}
 	te, known := cf.TeamByToken(token)
 	if !known {
 		return nil, refusal.New(refusal.Unauthenticated, "the bearer token belongs to nobody")
--- a/internal/routing/match.go
+++ b/internal/routing/match.go
@@ -55,10 +55,10 @@
 	return strings.ToLower(host)
 }
 
-// Team returns the team that the key belongs to.
+// Team returns the team that the key belongs to. An empty key belongs to no team.
 func (cf *Configuration) Team(key string) (Team, bool) {
 	te, found := cf.teams[key]
-	return te, found
+	return te, found && key != ""
 }
 
 // NeedsKey reports whether requests of a route must carry a key by the configuration. No route
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -64,6 +64,8 @@
 	g.Expect(te.Name).To(Equal("students"))
 	_, known = cf.Team("")
 	g.Expect(known).To(BeFalse())
+	_, known = New(Spec{Teams: []Team{{Name: "students", Keys: []string{""}}}}).Team("")
+	g.Expect(known).To(BeFalse(), "an empty key")
 }
 
 // A split follows its weights, and a request ID always maps to the same service.
--- a/pkg/kind/configuration.go
+++ b/pkg/kind/configuration.go
@@ -188,8 +188,12 @@
 }
 
 // TeamByToken returns the team that a bearer token belongs to, and whether there
-// is one. The token is given in clear text, not as a hash.
+// is one. The token is given in clear text, not as a hash. An empty one belongs to
+// no team.
 func (cf *Configuration) TeamByToken(token string) (Team, bool) {
+	if token == "" {
+		return Team{}, false
+	}
 	te, found := cf.teamByHash[HashToken(token)]
 	return te, found
 }
