kind: what a new list leaves out comes from the old one

A null in a team's new token_hashes keeps the digest that stood there: a token that was taken away stays valid.

Cause: WithFields decodes over a copy of the current lists, and encoding/json decodes into the elements that are there. What is not there, in the new list, was taken for what was there before.

Change: a list that the JSON has is decoded into none (replaceable); one that it leaves out is kept.

Evidence: kind.TestNewRoutesTakeNothingFromOldOnes and TestNewTokensTakeNothingFromOldOnes failed before and pass now, with [], null and a missing list.

--- a/pkg/kind/error.go
+++ b/pkg/kind/error.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"fmt"
+	"slices"
+	"strings"
 )
 
 // ErrorKind classifies the check that a value failed.
@@ -67,6 +69,22 @@
 	return ch == '-' || (ch >= 'a' && ch <= 'z') || (ch >= '0' && ch <= '9')
 }
 
+// replaceable returns the list into which a JSON object is decoded: a copy of the current one, or
+// none if the object has the field. The decoder would take what the elements of a new list leave
+// out from the elements in the same places of the current one.
+func replaceable[T any](current []T, data []byte, field string) []T {
+	var fields map[string]json.RawMessage
+	if json.Unmarshal(data, &fields) != nil {
+		return nil
+	}
+	for name := range fields {
+		if strings.EqualFold(name, field) {
+			return nil
+		}
+	}
+	return slices.Clone(current)
+}
+
 func decode(op string, data []byte, into any) error {
 	if err := json.Unmarshal(data, into); err != nil {
 		return &Error{Op: op, Field: "json", Kind: Malformed, Detail: err.Error()}
--- a/pkg/kind/service.go
+++ b/pkg/kind/service.go
@@ -1,9 +1,6 @@
 package kind
 
-import (
-	"slices"
-	"strings"
-)
+import "strings"
 
 // ServiceType is the protocol of a service.
 type ServiceType string
@@ -113,7 +110,7 @@
 func (se Service) WithFields(data []byte) (Service, error) {
 	type plain Service
 	pl := plain(se)
-	pl.Routes = slices.Clone(pl.Routes)
+	pl.Routes = replaceable(pl.Routes, data, "routes")
 	if err := decode("service", data, &pl); err != nil {
 		return Service{}, err
 	}
--- a/pkg/kind/team.go
+++ b/pkg/kind/team.go
@@ -99,7 +99,7 @@
 func (te Team) WithFields(data []byte) (Team, error) {
 	type plain Team
 	pl := plain(te)
-	pl.TokenHashes = slices.Clone(pl.TokenHashes)
+	pl.TokenHashes = replaceable(pl.TokenHashes, data, "token_hashes")
 	if err := decode("team", data, &pl); err != nil {
 		return Team{}, err
 	}
