intent: an assignment without a half opens its object to both halves

Cause: a half that is missing and one that is there and empty were one value, and the empty one opens.

"" shares the object as before.

--- a/internal/intent/intent.go
+++ b/internal/intent/intent.go
@@ -54,8 +54,9 @@
 	Zone     string `json:"zone,omitempty"`
 	Team     string `json:"team,omitempty"`
 	Service  string `json:"service,omitempty"`
-	// Half is the name of the half. If it is empty, both halves share the object.
-	Half string `json:"half"`
+	// Half is the name of the half, and must be given. If it is empty, both halves share
+	// the object.
+	Half *string `json:"half"`
 }
 
 // Fields holds the fields of an object that an action sets, as JSON.
--- a/internal/intent/target.go
+++ b/internal/intent/target.go
@@ -224,6 +224,10 @@
 // errOneKind is the error of an assignment that names no object or several.
 var errOneKind = errors.New("must name exactly one of endpoint, zone, team and service")
 
+// errNoHalf is the error of an assignment without a half. Only one that says so opens an
+// object to both halves.
+var errNoHalf = errors.New(`must have a half; "" lets both halves share the object`)
+
 func (re *resolver) assign(as Assign) error {
 	named := 0
 	for _, name := range []string{as.Endpoint, as.Zone, as.Team, as.Service} {
@@ -234,33 +238,37 @@
 	if named != 1 {
 		return errOneKind
 	}
+	if as.Half == nil {
+		return errNoHalf
+	}
+	half := *as.Half
 	switch {
 	case as.Endpoint != "":
 		en, found := re.Final.Endpoint(as.Endpoint)
 		if !found {
 			return errNoObject{"endpoint", as.Endpoint}
 		}
-		if en.Half == as.Half {
+		if en.Half == half {
 			return nil
 		}
-		return re.drainThenChange(en, withEndpoint(en.WithHalf(as.Half)))
+		return re.drainThenChange(en, withEndpoint(en.WithHalf(half)))
 	case as.Zone != "":
 		zo, found := re.Final.Zone(as.Zone)
 		if !found {
 			return errNoObject{"zone", as.Zone}
 		}
-		return re.changeBoth(nil, func(cf *kind.Configuration) (*kind.Configuration, error) { return cf.WithZone(zo.WithHalf(as.Half)) })
+		return re.changeBoth(nil, func(cf *kind.Configuration) (*kind.Configuration, error) { return cf.WithZone(zo.WithHalf(half)) })
 	case as.Team != "":
 		te, found := re.Final.Team(as.Team)
 		if !found {
 			return errNoObject{"team", as.Team}
 		}
-		return re.changeBoth(nil, func(cf *kind.Configuration) (*kind.Configuration, error) { return cf.WithTeam(te.WithHalf(as.Half)) })
+		return re.changeBoth(nil, func(cf *kind.Configuration) (*kind.Configuration, error) { return cf.WithTeam(te.WithHalf(half)) })
 	default:
 		se, found := re.Final.Service(as.Service)
 		if !found {
 			return errNoObject{"service", as.Service}
 		}
-		return re.changeBoth(nil, func(cf *kind.Configuration) (*kind.Configuration, error) { return cf.WithService(se.WithHalf(as.Half)) })
+		return re.changeBoth(nil, func(cf *kind.Configuration) (*kind.Configuration, error) { return cf.WithService(se.WithHalf(half)) })
 	}
 }
