routing: the only service of a split gets all requests with weight zero

Cause: a route with one share was taken for a route without a split, so that a weight that is there, and zero, counted like none.

Change: ServiceOf looks at the weight of an only share, too. Without any weight the route has no service, and its requests are refused as not run, as with several weights of zero before.

Evidence: routing.TestServicesWithoutWeightGetNoRequests failed before for the weight 0; none and an empty list held. (The test ends at its first failure, so that -1 and two zeros were not shown to fail or hold.)

--- a/internal/routing/match.go
+++ b/internal/routing/match.go
@@ -100,9 +100,10 @@
 func (cf *Configuration) Limits() Limits { return cf.limits }
 
 // ServiceOf returns the service for a request ID. It hashes the ID, so that all
-// instances choose the same service.
+// instances choose the same service. It returns an empty name if no service has a weight
+// above zero.
 func (ro Route) ServiceOf(request string) string {
-	if len(ro.Shares) == 1 {
+	if len(ro.Shares) == 1 && ro.Shares[0].Weight > 0 {
 		return ro.Shares[0].Service
 	}
 	total := 0.0
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -84,6 +84,16 @@
 	g.Expect(counts["a"] + counts["b"]).To(Equal(requests))
 }
 
+// Guards against a route whose only service has the weight zero and that sent all of its requests
+// there.
+func TestServicesWithoutWeightGetNoRequests(t *testing.T) {
+	g := NewWithT(t)
+	for _, shares := range [][]Share{nil, {}, {{"none", 0}}, {{"none", -1}}, {{"none", 0}, {"other", 0}}} {
+		g.Expect(Route{Shares: shares}.ServiceOf("request")).To(BeEmpty(), "%v", shares)
+	}
+	g.Expect(Route{Shares: []Share{{"only", 0.1}}}.ServiceOf("request")).To(Equal("only"))
+}
+
 // The version in force never decreases, in whichever order versions arrive.
 func TestVersionsNeverGoBack(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
