routing: a route without a path prefix matches every path of its host

Cause: each text begins with the empty text; a prefix that is not there counted like one that says "all paths", which is "/".

Change: such a route is not indexed.

Evidence: routing.TestRouteWithoutPrefixMatchesNoPath failed before.

--- a/internal/routing/match.go
+++ b/internal/routing/match.go
@@ -9,13 +9,17 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// New indexes a specification. It compares host names in lower case.
+// New indexes a specification. It compares host names in lower case. A route without a path
+// prefix matches no path.
 func New(sp Spec) *Configuration {
 	cf := &Configuration{
 		Version: sp.Version, limits: sp.Limits, source: sp.Source, hasTeams: sp.HasTeams || len(sp.Teams) > 0,
 		routes: make(map[string][]Route), services: make(map[string]Service), teams: make(map[string]Team),
 	}
 	for _, ro := range sp.Routes {
+		if ro.PathPrefix == "" {
+			continue
+		}
 		host := strings.ToLower(ro.Host)
 		cf.routes[host] = append(cf.routes[host], ro)
 	}
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -49,6 +49,19 @@
 	}
 }
 
+// Guards against a route without a path prefix that took the requests to all paths of its host.
+func TestRouteWithoutPrefixMatchesNoPath(t *testing.T) {
+	g := NewWithT(t)
+	cf := New(Spec{Version: 1, Routes: []Route{
+		{Name: "none", Host: "books.example", Public: true, Shares: []Share{{Service: "desk", Weight: 1}}},
+		{Name: "root", Host: "open.example", PathPrefix: "/", Shares: []Share{{Service: "desk", Weight: 1}}},
+	}})
+	_, found := cf.Match("books.example", "/a/b")
+	g.Expect(found).To(BeFalse())
+	ro, _ := cf.Match("open.example", "/a/b")
+	g.Expect(ro.Name).To(Equal("root"))
+}
+
 func TestKeys(t *testing.T) {
 	g := NewWithT(t)
 	cf := testConfiguration(1)
