routing: a limit of bodies that is zero counts as none

Cause: zero and a missing limit were one value, and it opened.

Change: Limits.Body says whether there is a limit; zero allows no body (413), with a length and in chunks. Requests without a body are served.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -184,7 +184,7 @@
 	if !found {
 		return nil, di.deny(age, refusal.New(refusal.NotFound, "no route for "+re.Host+re.Path))
 	}
-	if bound := cf.Limits().BodyBytes; bound > 0 && len(re.Body) > bound {
+	if bound, limited := cf.Limits().Body(); limited && len(re.Body) > bound {
 		return nil, refusal.New(refusal.TooLarge, "the body is over "+strconv.Itoa(bound)+" bytes")
 	}
 	ta := &task{Request: re, route: route, priority: route.Priority, passCredential: !di.RequireKeys && !cf.HasTeams()}
--- a/internal/gateway/intake.go
+++ b/internal/gateway/intake.go
@@ -44,12 +44,12 @@
 }
 
 // bodyBytes returns the limit of the configuration in force for the body of one request, in
-// bytes, or zero if there is none.
-func (gw *Gateway) bodyBytes() int {
+// bytes, and whether there is one.
+func (gw *Gateway) bodyBytes() (bytes int, limited bool) {
 	if cf := gw.state.Load(); cf != nil {
-		return cf.Limits().BodyBytes
+		return cf.Limits().Body()
 	}
-	return 0
+	return 0, false
 }
 
 // maxFiles returns the number of descriptors that the process may have open, or 0 if it is
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -71,8 +71,8 @@
 	// MaxBodyBytes limits the body of one request. Zero means DefaultMaxBodyBytes.
 	MaxBodyBytes int
 	// ConfiguredBodyBytes returns the limit for the body of one request that the configuration
-	// in force has, or zero if it has none. It may be nil.
-	ConfiguredBodyBytes func() int
+	// in force has, and whether it has one. It may be nil.
+	ConfiguredBodyBytes func() (bytes int, limited bool)
 	// Intake limits the connections, and the time in which a request arrives. If it is nil,
 	// they have no limits.
 	Intake *intake.Limiter
@@ -230,7 +230,10 @@
 	if se.ConfiguredBodyBytes == nil {
 		return limit
 	}
-	return min(limit, cmp.Or(se.ConfiguredBodyBytes(), limit))
+	if configured, limited := se.ConfiguredBodyBytes(); limited {
+		return min(limit, configured)
+	}
+	return limit
 }
 
 // refuseUnread refuses a request whose body was not read, and closes its connection.
--- a/internal/routing/configuration.go
+++ b/internal/routing/configuration.go
@@ -111,16 +111,23 @@
 	HasPriority bool
 }
 
-// Limits holds the configured limits for incoming requests. BodyBytes is enforced by
+// Limits holds the configured limits for incoming requests. That of bodies is enforced by
 // packages ingress and dispatch, HeaderTimeout by package intake; zero means no limit.
 // Package ingress has fixed limits in place of the others.
 type Limits struct {
-	HeaderBytes   int
-	BodyBytes     int
+	HeaderBytes int
+	BodyBytes   int
+	// NoBodies is set if the limit of bodies is there, and zero.
+	NoBodies      bool
 	HeaderTimeout time.Duration
 	IdleTimeout   time.Duration
 }
 
+// Body returns the limit for the body of a request, in bytes, and whether there is one.
+func (li Limits) Body() (bytes int, limited bool) {
+	return li.BodyBytes, li.BodyBytes > 0 || li.NoBodies
+}
+
 // Configuration is one immutable version of the operators' configuration,
 // indexed for lookups.
 type Configuration struct {
