--- a/internal/configuration/publish.go
+++ b/internal/configuration/publish.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"maps"
 	"time"
 
@@ -144,9 +145,28 @@
 }
 
 func readBundle(ctx context.Context, store platform.Store, head []byte, known *Bundle) (*Bundle, error) {
-	var he Head
-	if err := json.Unmarshal(head, &he); err != nil {
+	he, err := decodeHead(head)
+	if err != nil {
 		return nil, &Error{Op: "read", Kind: Damaged, Err: err}
 	}
 	return ReadShards(ctx, store, he, known)
 }
+
+// errNoShards means that a head has no list of shards. Only an empty list says that there are
+// no objects.
+var errNoShards = errors.New("the head has no list of shards")
+
+func decodeHead(data []byte) (Head, error) {
+	var given struct {
+		Shards json.RawMessage `json:"shards"`
+	}
+	if err := json.Unmarshal(data, &given); err != nil {
+		return Head{}, err
+	}
+	if given.Shards == nil {
+		return Head{}, errNoShards
+	}
+	var he Head
+	err := json.Unmarshal(data, &he)
+	return he, err
+}
