platform: a listing without its objects counts as an empty one

Cause: as in the gateway's client of the store, a list that is missing decodes to one that is empty.

Change: HTTPStore takes a listing only if it has its objects and its revision; otherwise the call has failed (Unavailable). An empty list, and null, are lists. The bodies of TestSoundFormsOfThePlatform were {}, which is no listing; they have one now, and the broken forms stay as they were.

--- a/internal/platform/broken_answer_test.go
+++ b/internal/platform/broken_answer_test.go
@@ -17,7 +17,7 @@
 	t.Helper()
 	store := func() *platform.HTTPStore {
 		return &platform.HTTPStore{URL: "http://" + answerfake.Serve(t, func(*http.Request) string {
-			return fo.Answer("Object-Version: 7\r\n", `{}`)
+			return fo.Answer("Object-Version: 7\r\n", `{"revision":7,"objects":[]}`)
 		})}
 	}
 	errs := make(map[string]error)
--- a/internal/platform/http.go
+++ b/internal/platform/http.go
@@ -91,7 +91,30 @@
 
 func (hs *HTTPStore) listing(ctx context.Context, ca call) (Listing, error) {
 	var li Listing
-	err := hs.do(ctx, ca, func(resp *fasthttp.Response) error { return json.Unmarshal(resp.Body(), &li) })
+	err := hs.do(ctx, ca, func(resp *fasthttp.Response) (err error) {
+		li, err = decodeListing(resp.Body())
+		return err
+	})
+	return li, err
+}
+
+// errIncompleteListing means that a listing lacks its objects or its revision. Only a list that is
+// there, and empty, says that there are no objects.
+var errIncompleteListing = errors.New("the listing lacks its objects or its revision")
+
+func decodeListing(data []byte) (Listing, error) {
+	var given struct {
+		Revision json.RawMessage `json:"revision"`
+		Objects  json.RawMessage `json:"objects"`
+	}
+	if err := json.Unmarshal(data, &given); err != nil {
+		return Listing{}, err
+	}
+	if given.Revision == nil || given.Objects == nil {
+		return Listing{}, errIncompleteListing
+	}
+	var li Listing
+	err := json.Unmarshal(data, &li)
 	return li, err
 }
 
