http1: an answer behind three interim answers is lost at gateways

Cause: Pool.exchange counted interim answers with answers to earlier requests, of which two are skipped. endpoint.Stream skipped eight, in a loop of its own.

Change: ReadHead skips up to eight interim answers, without parsing them, and serves both. That takes the loops of both clients away.

Evidence: upstream.TestInterimAnswersBeforeAnAnswer failed before with three interim answers, and passes with 0 to 8; interim answers without end are lost as before. TestReadHeadByteByByte loops no more, since ReadHead does; its forms stay.

--- a/internal/endpoint/connection.go
+++ b/internal/endpoint/connection.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"crypto/tls"
-	"errors"
 	"io"
 	"net"
 	"net/http/httputil"
@@ -21,11 +20,6 @@
 
 var writerPool = sync.Pool{New: func() any { return bufio.NewWriterSize(nil, streamBufferBytes) }}
 
-// maxInterimAnswers is the maximum number of interim answers before the final one.
-const maxInterimAnswers = 8
-
-var errTooManyInterim = errors.New("the endpoint sends interim answers only")
-
 // open sends a request over a new connection and reads the header of the
 // response. It does not use the connection pool of fasthttp, because a pooled
 // connection may be dead, and because fasthttp returns the chunks of a body one
@@ -91,19 +85,13 @@
 	if err := wr.Flush(); err != nil {
 		return err
 	}
-	for range maxInterimAnswers + 1 {
-		var head fasthttp.ResponseHeader
-		if err := http1.ReadHead(st.raw, &head); err != nil {
-			return err
-		}
-		if head.StatusCode() < http1.MinFinalStatus {
-			continue
-		}
-		st.status = head.StatusCode()
-		st.rd.Reset(bodyOf(st.raw, head.ContentLength()))
-		return nil
+	var head fasthttp.ResponseHeader
+	if err := http1.ReadHead(st.raw, &head); err != nil {
+		return err
 	}
-	return errTooManyInterim
+	st.status = head.StatusCode()
+	st.rd.Reset(bodyOf(st.raw, head.ContentLength()))
+	return nil
 }
 
 // chunkedLength is the content length that fasthttp reports for a chunked body.
--- a/internal/http1/conn_test.go
+++ b/internal/http1/conn_test.go
@@ -112,11 +112,7 @@
 	read := func(fo answerfake.Form) error {
 		rd := bufio.NewReader(iotest.OneByteReader(strings.NewReader(fo.Answer("", "hello"))))
 		var head fasthttp.ResponseHeader
-		for {
-			if err := ReadHead(rd, &head); err != nil || head.StatusCode() >= MinFinalStatus {
-				return err
-			}
-		}
+		return ReadHead(rd, &head)
 	}
 	for _, fo := range answerfake.Sound() {
 		NewWithT(t).Expect(read(fo)).To(Succeed(), fo.Name)
--- a/internal/http1/head.go
+++ b/internal/http1/head.go
@@ -41,8 +41,8 @@
 const (
 	minStatus = 100
 	maxStatus = 599
-	// MinFinalStatus is the lowest status of an answer that no other one follows.
-	MinFinalStatus = 200
+	// minFinalStatus is the lowest status of an answer that no other one follows.
+	minFinalStatus = 200
 	codeDigits     = 3
 )
 
@@ -74,7 +74,7 @@
 func (he *Head) Whole() bool { return he.part == whole }
 
 // IsInterim reports whether another head follows the one that was checked.
-func (he *Head) IsInterim() bool { return he.Whole() && he.status < MinFinalStatus }
+func (he *Head) IsInterim() bool { return he.Whole() && he.status < minFinalStatus }
 
 // Check checks bytes up to the end of the head and returns their number.
 func (he *Head) Check(data []byte) (int, error) {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -13,8 +13,6 @@
 
 	"github.com/jonboulle/clockwork"
 	"github.com/valyala/fasthttp"
-
-	"filbertstall.example/filbertstall/internal/http1"
 )
 
 const (
@@ -26,8 +24,8 @@
 	// idleMargin is subtracted from the idle timeout that an endpoint announces,
 	// so that no request is sent while the endpoint closes the connection.
 	idleMargin = 700 * time.Millisecond
-	// maxStaleAnswers is the maximum number of answers to earlier requests, and of
-	// interim responses, that are skipped before the answer to a request.
+	// maxStaleAnswers is the maximum number of answers to earlier requests that are
+	// skipped before the answer to a request.
 	maxStaleAnswers = 2
 	// maxStaleBodyBytes is the maximum body size of a skipped answer.
 	maxStaleBodyBytes = 1 << 20
@@ -107,9 +105,6 @@
 		if err := readHead(cn.rd, &head); err != nil {
 			return nil, err
 		}
-		if head.StatusCode() < http1.MinFinalStatus {
-			continue
-		}
 		an := newAnswer(po, cn, &head, ca.Method)
 		cn.idleLimit = idleLimitOf(an.Get("Keep-Alive"))
 		if an.Get(po.IDHeader) == ca.ID {
