http1: one function does the TLS handshake of all clients

DialTLS serves all three. Behaviour is the same; the timeout of the dialer is that of a context now.

The tests of http1, endpoint, platform, command and pkg/client pass with the race detector.

--- a/internal/endpoint/connection.go
+++ b/internal/endpoint/connection.go
@@ -2,7 +2,7 @@
 
 import (
 	"bufio"
-	"crypto/tls"
+	"context"
 	"io"
 	"net"
 	"net/http/httputil"
@@ -59,16 +59,11 @@
 	if string(uri.Scheme()) != "https" {
 		return idle, nil
 	}
-	name, _, err := net.SplitHostPort(host)
+	secured, err := http1.DialTLS(context.Background(), idle, host, nil)
 	if err != nil {
-		name = host
-	}
-	tc := http1.TLSClient(idle, &tls.Config{ServerName: name, MinVersion: tls.VersionTLS12})
-	if err := tc.Handshake(); err != nil {
-		_ = conn.Close()
 		return nil, err
 	}
-	return tc, nil
+	return secured, nil
 }
 
 // exchange writes the request and reads the header of the response.
--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -1,8 +1,8 @@
 package http1
 
 import (
+	"context"
 	"crypto/tls"
-	"errors"
 	"net"
 	"time"
 
@@ -80,12 +80,14 @@
 	if !di.isTLS {
 		return &Conn{Conn: conn}, nil
 	}
-	secured := TLSClient(conn, di.configFor(address))
+	ctx := context.Background()
 	if timeout > 0 {
-		_ = conn.SetDeadline(time.Now().Add(timeout))
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, timeout)
+		defer cancel()
 	}
-	if err := errors.Join(secured.Handshake(), conn.SetDeadline(time.Time{})); err != nil {
-		_ = conn.Close()
+	secured, err := DialTLS(ctx, conn, address, di.config)
+	if err != nil {
 		return nil, err
 	}
 	return secureConn{Conn: &Conn{Conn: secured}, secured: secured}, nil
@@ -101,15 +103,3 @@
 		return fasthttp.Dial(address)
 	}
 }
-
-// configFor returns the TLS configuration for a host and port.
-func (di dialer) configFor(address string) *tls.Config {
-	config := &tls.Config{MinVersion: tls.VersionTLS12}
-	if di.config != nil {
-		config = di.config.Clone()
-	}
-	if config.ServerName == "" {
-		config.ServerName, _, _ = net.SplitHostPort(address)
-	}
-	return config
-}
--- a/internal/http1/tls.go
+++ b/internal/http1/tls.go
@@ -1,6 +1,7 @@
 package http1
 
 import (
+	"context"
 	"crypto/tls"
 	"errors"
 	"io"
@@ -22,8 +23,32 @@
 	return count, err
 }
 
-// TLSClient returns a TLS connection whose reads return io.EOF only if the other side said that
-// it sends no more. Anything else would not end an answer without length and chunks.
-func TLSClient(conn net.Conn, config *tls.Config) *tls.Conn {
-	return tls.Client(transport{Conn: conn}, config)
+// DialTLS does the TLS handshake with a host and port on a connection to it, and closes the
+// connection if that fails. A nil config is a new one; its server name is that of the host unless
+// it has another. Reads return io.EOF only if the other side said that it sends no more: anything
+// else would not end an answer without length and chunks.
+func DialTLS(ctx context.Context, conn net.Conn, address string, config *tls.Config) (*tls.Conn, error) {
+	secured := tls.Client(transport{Conn: conn}, configFor(address, config))
+	if err := secured.HandshakeContext(ctx); err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
+	return secured, nil
+}
+
+// configFor returns the TLS configuration for a host and port.
+func configFor(address string, config *tls.Config) *tls.Config {
+	if config == nil {
+		config = &tls.Config{MinVersion: tls.VersionTLS12}
+	}
+	if config.ServerName != "" {
+		return config
+	}
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		host = address
+	}
+	config = config.Clone()
+	config.ServerName = host
+	return config
 }
--- a/pkg/client/dial.go
+++ b/pkg/client/dial.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"net"
 	"time"
 
@@ -36,13 +35,8 @@
 	if err != nil {
 		return nil, err
 	}
-	host, _, err := net.SplitHostPort(address)
+	secured, err := http1.DialTLS(ctx, conn, address, nil)
 	if err != nil {
-		host = address
-	}
-	secured := http1.TLSClient(conn, &tls.Config{ServerName: host, MinVersion: tls.VersionTLS12})
-	if err := secured.HandshakeContext(ctx); err != nil {
-		_ = conn.Close()
 		return nil, err
 	}
 	return &http1.Conn{Conn: secured, Once: true}, nil
