--- a/internal/upstream/answer.go
+++ b/internal/upstream/answer.go
@@ -130,7 +130,7 @@
 	if an.onClose != nil {
 		an.onClose()
 	}
-	if an.bodyRead && an.keepAlive && an.Framed && an.cn.rd.Buffered() == 0 && an.cn.requestWritten() {
+	if an.bodyRead && an.keepAlive && an.Framed && an.cn.rd.Buffered() == 0 && an.cn.written.Load() {
 		an.pool.put(an.cn)
 		return
 	}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -23,13 +23,6 @@
 	asyncWriteBytes = 4 << 10
 )
 
-// The write states of a request.
-const (
-	writing int32 = iota
-	writeDone
-	writeFailed
-)
-
 // conn is one connection to an endpoint.
 type conn struct {
 	net.Conn
@@ -39,9 +32,10 @@
 	rd     *bufio.Reader
 	// idleSince is the time at which the connection was returned to the pool.
 	// idleLimit is how long it may stay idle there.
-	idleSince  time.Time
-	idleLimit  time.Duration
-	writeState atomic.Int32
+	idleSince time.Time
+	idleLimit time.Duration
+	// written is set once the whole request was written.
+	written atomic.Bool
 	// carried has the hashes of the IDs of all calls that were sent.
 	carried []uint64
 	// calls is the number of calls that were sent, including the present one.
@@ -84,9 +78,6 @@
 // isUsedUp reports whether the connection has carried as many calls as it may.
 func (cn *conn) isUsedUp() bool { return len(cn.carried) >= maxCallsPerConn }
 
-// requestWritten reports whether the whole request was written.
-func (cn *conn) requestWritten() bool { return cn.writeState.Load() == writeDone }
-
 // send writes a request. If its body is larger than asyncWriteBytes, the request
 // is written in the background while the answer is read.
 func (cn *conn) send(ca Call) error {
@@ -94,7 +85,7 @@
 	if ca.ID != "" {
 		cn.carried = append(cn.carried, hashID(ca.ID))
 	}
-	cn.writeState.Store(writing)
+	cn.written.Store(false)
 	if len(ca.Body) <= asyncWriteBytes {
 		_, err := cn.duplex.Write(append(ca.head(), ca.Body...))
 		return cn.wrote(err)
@@ -109,12 +100,8 @@
 
 // wrote records whether the request was written, and returns the error.
 func (cn *conn) wrote(err error) error {
-	if err != nil {
-		cn.writeState.Store(writeFailed)
-		return err
-	}
-	cn.writeState.Store(writeDone)
-	return nil
+	cn.written.Store(err == nil)
+	return err
 }
 
 // reusable reports whether an idle connection is open and no data has arrived on
