--- a/internal/endpoint/answer_copy_test.go
+++ b/internal/endpoint/answer_copy_test.go
@@ -11,6 +11,8 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"filbertstall.example/filbertstall/internal/answerfake"
 )
 
 // answerOf returns an answer with a length.
@@ -22,15 +24,9 @@
 // connection that is used again it writes the first answer once more, where the next is due.
 func serveCopies(t *testing.T, first, then string) string {
 	t.Helper()
-	ln, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = ln.Close() })
 	var mu sync.Mutex
 	begun := false
-	serve := func(conn net.Conn) {
-		defer func() { _ = conn.Close() }()
+	serve := func(conn *net.TCPConn) {
 		rd := bufio.NewReader(conn)
 		for repeats := false; ; repeats = true {
 			re, err := http.ReadRequest(rd)
@@ -54,16 +50,7 @@
 			}
 		}
 	}
-	go func() {
-		for {
-			conn, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go serve(conn)
-		}
-	}()
-	return "http://" + ln.Addr().String()
+	return "http://" + answerfake.ServeRaw(t, serve)
 }
 
 // Guards against an order or a cancellation that counts as refused, or as done, because of a
--- a/internal/ingress/server_test.go
+++ b/internal/ingress/server_test.go
@@ -17,6 +17,7 @@
 	"github.com/rs/zerolog"
 	"github.com/valyala/fasthttp"
 
+	"filbertstall.example/filbertstall/internal/answerfake"
 	"filbertstall.example/filbertstall/internal/backpressure"
 	"filbertstall.example/filbertstall/internal/boottime"
 	"filbertstall.example/filbertstall/internal/budget"
@@ -62,29 +63,14 @@
 // lets script write the answer. It returns the endpoint's address.
 func endpoint(t *testing.T, script func(conn net.Conn, id string)) string {
 	t.Helper()
-	ln, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = ln.Close() })
-	go func() {
-		for {
-			conn, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = conn.Close() }()
-				re, err := http.ReadRequest(bufio.NewReader(conn))
-				if err != nil {
-					return
-				}
-				_, _ = io.Copy(io.Discard, re.Body)
-				script(conn, re.Header.Get("Id"))
-			}()
+	return answerfake.ServeRaw(t, func(conn *net.TCPConn) {
+		re, err := http.ReadRequest(bufio.NewReader(conn))
+		if err != nil {
+			return
 		}
-	}()
-	return ln.Addr().String()
+		_, _ = io.Copy(io.Discard, re.Body)
+		script(conn, re.Header.Get("Id"))
+	})
 }
 
 // start runs a server until the test ends. It knows the endpoint at address, or
--- a/internal/upstream/answer_copy_test.go
+++ b/internal/upstream/answer_copy_test.go
@@ -223,7 +223,7 @@
 				write(conn, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nnew")
 			})
 			po := newPool()
-			call := Call{Address: ep.Addr().String(), Method: "POST", Target: "/order", Host: "h", MaxIdle: time.Minute, Once: ca.once}
+			call := Call{Address: ep.address, Method: "POST", Target: "/order", Host: "h", MaxIdle: time.Minute, Once: ca.once}
 			_, err := exchange(po, call)
 			g.Expect(err).NotTo(HaveOccurred())
 			body, err := exchange(po, call)
@@ -313,7 +313,7 @@
 				g.Expect(err).NotTo(HaveOccurred())
 				switch {
 				case ix%50 == 49:
-					po.drop(ep.Addr().String())
+					po.drop(ep.address)
 				case ix%10 == 9:
 					po.Prune()
 				}
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -15,12 +15,14 @@
 
 	"github.com/jonboulle/clockwork"
 	. "github.com/onsi/gomega"
+
+	"filbertstall.example/filbertstall/internal/answerfake"
 )
 
 // rawEndpoint is an endpoint that answers each request with a function that
 // writes raw bytes to the connection.
 type rawEndpoint struct {
-	net.Listener
+	address  string
 	mu       sync.Mutex
 	conns    int
 	requests []string
@@ -28,26 +30,12 @@
 
 func serveRaw(t *testing.T, answer func(conn net.Conn, re *http.Request, body string)) *rawEndpoint {
 	t.Helper()
-	ln, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	ep := &rawEndpoint{Listener: ln}
-	t.Cleanup(func() { _ = ln.Close() })
-	go func() {
-		for {
-			conn, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go ep.serve(conn, answer)
-		}
-	}()
+	ep := &rawEndpoint{}
+	ep.address = answerfake.ServeRaw(t, func(conn *net.TCPConn) { ep.serve(conn, answer) })
 	return ep
 }
 
 func (ep *rawEndpoint) serve(conn net.Conn, answer func(net.Conn, *http.Request, string)) {
-	defer func() { _ = conn.Close() }()
 	ep.mu.Lock()
 	ep.conns++
 	ep.mu.Unlock()
@@ -78,7 +66,7 @@
 
 func (ep *rawEndpoint) call(id string) Call {
 	return Call{
-		Address: ep.Addr().String(), Method: "GET", Target: "/x", Host: "h", ID: id,
+		Address: ep.address, Method: "GET", Target: "/x", Host: "h", ID: id,
 		Headers: []Header{{"Id", id}}, MaxIdle: time.Minute,
 	}
 }
@@ -320,7 +308,7 @@
 		write(conn, first)
 	})
 	po := &Pool{IDHeader: "Id", Clock: clockwork.NewRealClock()}
-	address := ep.Addr().String()
+	address := ep.address
 	an, err := po.Do(context.Background(), Call{Address: address, Method: "GET", Target: "/", Host: "h", ID: "1", Headers: []Header{{"Id", "1"}}, MaxIdle: time.Second})
 	g.Expect(err).NotTo(HaveOccurred())
 	_, err = an.ReadAll(100)
--- a/internal/upstream/repeat_test.go
+++ b/internal/upstream/repeat_test.go
@@ -78,7 +78,7 @@
 		}
 	}
 	control := func(ep *rawEndpoint, maxIdle time.Duration) Call {
-		return Call{Address: ep.Addr().String(), Method: "POST", Target: "/order", Host: "h", MaxIdle: maxIdle}
+		return Call{Address: ep.address, Method: "POST", Target: "/order", Host: "h", MaxIdle: maxIdle}
 	}
 	t.Run("a refusal", func(t *testing.T) {
 		g := NewWithT(t)
