client: status 000 is an answer over the user's own HTTP client

Here it held at gateways, at serve and at all readers that go through internal/http1, but pkg/client with an HTTP client of its user returned 000, 001, 099, 101, 600 and 999 as answers.

Cause: that HTTP client accepts any three characters that are a number, and pkg/client left the check of the status to its own connections.

Change: Call and Generate take a status that HTTP has not, or 101, for a broken answer of unknown outcome (http1.IsFinalStatus).

--- a/internal/http1/head.go
+++ b/internal/http1/head.go
@@ -46,6 +46,9 @@
 	codeDigits     = 3
 )
 
+// IsFinalStatus reports whether HTTP/1.1 has answers with a status that no other answer follows.
+func IsFinalStatus(status int) bool { return minFinalStatus <= status && status <= maxStatus }
+
 // Head checks the head of an answer while its bytes arrive. The zero value expects the first
 // byte.
 type Head struct {
--- a/pkg/client/call.go
+++ b/pkg/client/call.go
@@ -76,6 +76,9 @@
 		return Answer{}, transportError("call", err)
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if er := checkStatus("call", resp); er != nil {
+		return Answer{}, er
+	}
 	if isProblem(resp) {
 		return Answer{}, problemError("call", resp)
 	}
--- a/pkg/client/error.go
+++ b/pkg/client/error.go
@@ -10,6 +10,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"filbertstall.example/filbertstall/internal/http1"
 )
 
 // Kind classifies the failure of a request.
@@ -91,6 +93,14 @@
 	maxAnswerBytes = 16 << 20
 )
 
+// checkStatus returns an error if HTTP has no such status. The user's own HTTP client may accept it.
+func checkStatus(op string, resp *http.Response) *Error {
+	if http1.IsFinalStatus(resp.StatusCode) {
+		return nil
+	}
+	return &Error{Op: op, Kind: Broken, Outcome: Unknown, Err: fmt.Errorf("there is no status %03d", resp.StatusCode)}
+}
+
 // problemError returns the error of a response that refuses the request.
 func problemError(op string, resp *http.Response) *Error {
 	er := &Error{Op: op, Kind: Refused, Outcome: Unknown, Problem: Problem{Status: resp.StatusCode}}
--- a/pkg/client/form_test.go
+++ b/pkg/client/form_test.go
@@ -20,10 +20,16 @@
 
 // askForm makes a call and a generation, once, that get answers of a form.
 func askForm(t *testing.T, fo answerfake.Form) (an client.Answer, callErr, streamErr error) {
+	t.Helper()
+	return askFormOver(t, fo, nil)
+}
+
+// askFormOver is askForm with an HTTP client of the user; nil is the package's own.
+func askFormOver(t *testing.T, fo answerfake.Form, own *http.Client) (an client.Answer, callErr, streamErr error) {
 	t.Helper()
 	cl := func(body string) *client.Client {
 		address := answerfake.Serve(t, func(*http.Request) string { return fo.Answer("", body) })
-		return &client.Client{Entries: []string{"http://" + address}, MaxAttempts: 1}
+		return &client.Client{Entries: []string{"http://" + address}, MaxAttempts: 1, HTTP: own}
 	}
 	an, callErr = cl("hello").Call(context.Background(), client.Call{Method: http.MethodPost, Service: "s", Path: "/x", Body: []byte("b")})
 	st := cl("id: g/0\ndata: x\n\ndata: [DONE]\n\n").Generate(context.Background(), client.Generation{Path: "/v1/completions"})
@@ -70,6 +76,25 @@
 // An answer with status 000 was returned as an answer.
 func TestBrokenStatusIsNoAnswer(t *testing.T) { expectBroken(t, answerfake.BrokenStatuses()) }
 
+// Guards against an answer with status 000 that was returned as an answer where the user's own HTTP
+// client accepts it.
+func TestBrokenStatusIsNoAnswerOverAnyClient(t *testing.T) {
+	for _, fo := range answerfake.BrokenStatuses() {
+		t.Run(fo.Name, func(t *testing.T) {
+			g := NewWithT(t)
+			own := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+			an, callErr, streamErr := askFormOver(t, fo, own)
+			if callErr == nil {
+				g.Expect(an.Status).To(And(BeNumerically(">=", 200), BeNumerically("<=", 599)))
+			}
+			var er *client.Error
+			if errors.As(streamErr, &er) && er.Kind == client.Refused {
+				g.Expect(er.Problem.Status).To(And(BeNumerically(">=", 200), BeNumerically("<=", 599)))
+			}
+		})
+	}
+}
+
 // An answer with a blank or a control byte in the name of a field was an answer.
 func TestBrokenFieldIsNoAnswer(t *testing.T) { expectBroken(t, answerfake.BrokenFields()) }
 
--- a/pkg/client/stream.go
+++ b/pkg/client/stream.go
@@ -155,6 +155,9 @@
 		return transportError("generate", err)
 	}
 	st.body = resp.Body
+	if er := checkStatus("generate", resp); er != nil {
+		return er
+	}
 	if resp.StatusCode != http.StatusOK {
 		return problemError("generate", resp)
 	}
