--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -66,9 +66,9 @@
 	// Shutdown decides which requests are served while the instance shuts down. If it is
 	// nil, all are.
 	Shutdown *shutdown.Schedule
-	// RequireKeys is set if callers have keys by the rules of the deployment, also while the
-	// configuration has no list of teams. No key is valid then.
-	RequireKeys bool
+	// RequireKeys reports whether callers have keys by the rules of the deployment, also while
+	// the configuration has no list of teams. No key is valid then. If it is nil, they don't.
+	RequireKeys func() bool
 	// Alone reports whether no other instance of the zone is known to take requests. If it
 	// is nil, there is one.
 	Alone func() bool
@@ -187,7 +187,7 @@
 	if bound, limited := cf.Limits().Body(); limited && len(re.Body) > bound {
 		return nil, refusal.New(refusal.TooLarge, "the body is over "+strconv.Itoa(bound)+" bytes")
 	}
-	ta := &task{Request: re, route: route, priority: route.Priority, passCredential: !di.RequireKeys && !cf.HasTeams()}
+	ta := &task{Request: re, route: route, priority: route.Priority, passCredential: !cf.HasTeams() && !di.requiresKeys()}
 	if er := di.admitTeam(ta, cf, age); er != nil {
 		return nil, er
 	}
@@ -205,7 +205,7 @@
 // admitTeam finds the team of a request by its key, if the route needs one. The configuration
 // has the given age.
 func (di *Dispatcher) admitTeam(ta *task, cf *routing.Configuration, age time.Duration) *refusal.Error {
-	if !cf.NeedsKey(ta.route) && (!di.RequireKeys || ta.route.Public) {
+	if !cf.NeedsKey(ta.route) && (ta.route.Public || !di.requiresKeys()) {
 		return nil
 	}
 	team, known := cf.Team(ta.Key)
@@ -222,6 +222,8 @@
 	return nil
 }
 
+func (di *Dispatcher) requiresKeys() bool { return di.RequireKeys != nil && di.RequireKeys() }
+
 // Values of Retry-After for refused callers.
 const (
 	startRetryAfter = 300 * time.Millisecond
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -168,7 +168,7 @@
 	gw.Log.Error().Str("event", "panicked").Str("controller", name).Str("cause", fmt.Sprint(cause)).Str("stack", string(debug.Stack())).Msg("gateway: a controller panicked; running it again")
 }
 
-// Reload applies a changed address of the store, KeyRevocationBound and
+// Reload applies a changed address of the store, KeyRevocationBound, RequireKeys and
 // ConfigurationBound. All other settings keep their values until the next start.
 // It returns false, and has no effect, before Run has built the instance.
 func (gw *Gateway) Reload(se Settings) bool {
@@ -187,6 +187,10 @@
 	return true
 }
 
+// requiresKeys reports whether the platform's rules on keys are in force by the current
+// settings.
+func (gw *Gateway) requiresKeys() bool { return gw.settings.Load().RequireKeys }
+
 // maxAges returns the maximum ages of the store's confirmations by the current
 // settings.
 func (gw *Gateway) maxAges() dispatch.MaxAges {
@@ -251,7 +255,7 @@
 	hangups := &hangup.Watcher{Clock: gw.Clock}
 	di := &dispatch.Dispatcher{
 		State: &gw.state, Roster: &gw.roster, Tracker: &gw.tracker, Gate: &gw.gate, Codec: gw.Adapter.Codec, Clock: gw.Clock, Log: gw.Log,
-		Budget: se.budget(gw.Clock, gw.instanceCount), MaxAges: gw.maxAges, RequireKeys: se.RequireKeys, Informed: gw.isInformed,
+		Budget: se.budget(gw.Clock, gw.instanceCount), MaxAges: gw.maxAges, RequireKeys: gw.requiresKeys, Informed: gw.isInformed,
 		Runs: mover, Suspects: gw.suspects, Turns: turns{limiter: &gw.suspectLimiter}, Reachable: gw.pool.Reachable, Progress: engines.Progress, Paths: &gw.paths, Memory: gw.memory.bodies, Shutdown: &gw.shutdown, Meter: &dispatch.Meter{Scope: gw.metrics.Scope},
 	}
 	if gw.rollouts != nil {
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -66,6 +66,7 @@
 // needsRestart reports whether settings differ that Gateway.Reload does not apply.
 func (se Settings) needsRestart(old Settings) bool {
 	se.Store, se.KeyRevocationBound, se.ConfigurationBound = old.Store, old.KeyRevocationBound, old.ConfigurationBound
+	se.RequireKeys = old.RequireKeys
 	return se != old
 }
 
--- a/internal/gateway/settings_test.go
+++ b/internal/gateway/settings_test.go
@@ -7,7 +7,7 @@
 	. "github.com/onsi/gomega"
 )
 
-// A reload applies the store's address and two bounds. An operator who changes
+// A reload applies the store's address, two bounds and the rules on keys. An operator who changes
 // anything else is told that it takes a restart.
 func TestNeedsRestart(t *testing.T) {
 	for _, ca := range []struct {
@@ -19,6 +19,7 @@
 		{"store", func(se *Settings) { se.Store = "10.0.0.9:80" }, false},
 		{"bound of keys", func(se *Settings) { se.KeyRevocationBound = time.Second }, false},
 		{"bound of configurations", func(se *Settings) { se.ConfigurationBound = time.Second }, false},
+		{"rules on keys", func(se *Settings) { se.RequireKeys = true }, false},
 		{"callers", func(se *Settings) { se.Callers = "10.0.0.1:81" }, true},
 		{"peers", func(se *Settings) { se.Peers = "10.0.0.1:7200" }, true},
 		{"link", func(se *Settings) { se.LinkMbps = 20 }, true},
