gateway: the log of a configuration tells how many keys are valid

With none, callers get 401 but on public routes; the event `configuration` shows now that the configuration is the reason (`keys`). Empty keys are not indexed, so that the number is that of keys that let somebody in.

The tests of routing, gateway and relay pass.

--- a/internal/gateway/sink.go
+++ b/internal/gateway/sink.go
@@ -77,7 +77,7 @@
 		if cs.onChange != nil {
 			cs.onChange()
 		}
-		cs.log.Info().Str("event", "configuration").Int64("version", ob.Value.Version).Msg("gateway: new configuration in effect")
+		cs.log.Info().Str("event", "configuration").Int64("version", ob.Value.Version).Int("keys", ob.Value.Keys()).Msg("gateway: new configuration in effect")
 	}
 }
 
--- a/internal/relay/follow.go
+++ b/internal/relay/follow.go
@@ -261,7 +261,7 @@
 		return err
 	}
 	if sw.State.Put(cf) {
-		sw.Logger.Info().Str("event", "configuration").Int64("version", cf.Version).Str("reader", me.Name).Msg("relay: applied a configuration received from a reader")
+		sw.Logger.Info().Str("event", "configuration").Int64("version", cf.Version).Int("keys", cf.Keys()).Str("reader", me.Name).Msg("relay: applied a configuration received from a reader")
 		sw.Log.Observe()
 	}
 	return nil
--- a/internal/routing/match.go
+++ b/internal/routing/match.go
@@ -31,7 +31,9 @@
 	}
 	for _, te := range sp.Teams {
 		for _, key := range te.Keys {
-			cf.teams[key] = te
+			if key != "" {
+				cf.teams[key] = te
+			}
 		}
 	}
 	return cf
@@ -62,7 +64,7 @@
 // Team returns the team that the key belongs to. An empty key belongs to no team.
 func (cf *Configuration) Team(key string) (Team, bool) {
 	te, found := cf.teams[key]
-	return te, found && key != ""
+	return te, found
 }
 
 // NeedsKey reports whether requests of a route must carry a key by the configuration. No route
@@ -72,6 +74,9 @@
 // HasTeams reports whether the configuration has a list of teams, if an empty one.
 func (cf *Configuration) HasTeams() bool { return cf.hasTeams }
 
+// Keys returns the number of keys that are valid.
+func (cf *Configuration) Keys() int { return len(cf.teams) }
+
 // Service returns a service by name.
 func (cf *Configuration) Service(name string) (Service, bool) {
 	se, found := cf.services[name]
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -77,8 +77,11 @@
 	g.Expect(te.Name).To(Equal("students"))
 	_, known = cf.Team("")
 	g.Expect(known).To(BeFalse())
-	_, known = New(Spec{Teams: []Team{{Name: "students", Keys: []string{""}}}}).Team("")
+	g.Expect(cf.Keys()).To(Equal(2))
+	empty := New(Spec{Teams: []Team{{Name: "students", Keys: []string{""}}}})
+	_, known = empty.Team("")
 	g.Expect(known).To(BeFalse(), "an empty key")
+	g.Expect(empty.Keys()).To(BeZero(), "an empty key")
 }
 
 // A split follows its weights, and a request ID always maps to the same service.
