--- a/internal/endpoint/connection.go
+++ b/internal/endpoint/connection.go
@@ -59,7 +59,7 @@
 	if string(uri.Scheme()) != "https" {
 		return idle, nil
 	}
-	secured, err := http1.DialTLS(context.Background(), idle, host, nil)
+	secured, err := http1.Handshake(context.Background(), idle, host, nil)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -86,7 +86,7 @@
 		ctx, cancel = context.WithTimeout(ctx, timeout)
 		defer cancel()
 	}
-	secured, err := DialTLS(ctx, conn, address, di.config)
+	secured, err := Handshake(ctx, conn, address, di.config)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/http1/tls.go
+++ b/internal/http1/tls.go
@@ -23,11 +23,11 @@
 	return count, err
 }
 
-// DialTLS does the TLS handshake with a host and port on a connection to it, and closes the
+// Handshake does the TLS handshake with a host and port on a connection to it, and closes the
 // connection if that fails. A nil config is a new one; its server name is that of the host unless
 // it has another. Reads return io.EOF only if the other side said that it sends no more: anything
 // else would not end an answer without length and chunks.
-func DialTLS(ctx context.Context, conn net.Conn, address string, config *tls.Config) (*tls.Conn, error) {
+func Handshake(ctx context.Context, conn net.Conn, address string, config *tls.Config) (*tls.Conn, error) {
 	secured := tls.Client(transport{Conn: conn}, configFor(address, config))
 	if err := secured.HandshakeContext(ctx); err != nil {
 		_ = conn.Close()
--- a/pkg/client/dial.go
+++ b/pkg/client/dial.go
@@ -35,7 +35,7 @@
 	if err != nil {
 		return nil, err
 	}
-	secured, err := http1.DialTLS(ctx, conn, address, nil)
+	secured, err := http1.Handshake(ctx, conn, address, nil)
 	if err != nil {
 		return nil, err
 	}
