--- a/review/standin-3/case_readers.go
+++ b/review/standin-3/case_readers.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"sync"
 	"time"
 )
@@ -9,6 +10,10 @@
 const (
 	// readerInstances is the number of instances, half of them in each zone.
 	readerInstances = 20
+	// bookingTime is the time that a replica takes for a booking, in milliseconds.
+	bookingTime = 200
+	// lingerTime is the time after drainTime after which the replica that leaves exits.
+	lingerTime = 700 * time.Millisecond
 	// drainTime is drain_ms of the settings.
 	drainTime = 2 * time.Second
 	// readerRounds is the number of times that the readers are cut off.
@@ -17,14 +22,15 @@
 	readerCut  = 4 * time.Second
 	readerRest = 5 * time.Second
 	// loadPause is the time between two requests to an instance.
-	loadPause = 100 * time.Millisecond
+	loadPause = 50 * time.Millisecond
 )
 
 // sentRequest is a request of a client.
 type sentRequest struct {
-	id string
-	at time.Time
-	to string
+	id     string
+	at     time.Time
+	to     string
+	status int
 }
 
 // readersCase cuts the readers of two zones off from the store while a replica leaves without
@@ -44,7 +50,7 @@
 		de.gateways = append(de.gateways, gw)
 		proxies[gw] = pr
 	}
-	if _, err := de.addReplica(replicaSettings{Service: deskService, Slots: 24, BodyBytes: 20, Terse: true}); err != nil {
+	if _, err := de.addReplica(replicaSettings{Service: deskService, Slots: 24, BodyBytes: 20, PartMS: bookingTime, Terse: true}); err != nil {
 		return false, err
 	}
 	for _, gw := range de.gateways {
@@ -69,7 +75,7 @@
 
 // readersRound cuts the readers off once and reports whether DRAIN held.
 func readersRound(de *deployment, proxies map[*gateway]*proxy, round int, trouble bool) (bool, error) {
-	leaving, err := de.addReplica(replicaSettings{ID: fmt.Sprintf("i-leaves-%d", round), Service: deskService, Slots: 24, BodyBytes: 20, Terse: true})
+	leaving, err := de.addReplica(replicaSettings{ID: fmt.Sprintf("i-leaves-%d", round), Service: deskService, Slots: 24, BodyBytes: 20, PartMS: bookingTime, Terse: true})
 	if err != nil {
 		return false, err
 	}
@@ -87,22 +93,28 @@
 	de.store.remove("servers", leaving.ID)
 	acked := time.Now()
 	de.record.note("round %d: the readers are cut off: %v; the store has accepted that %s is gone", round, trouble, leaving.ID)
+	time.AfterFunc(drainTime+lingerTime, func() {
+		de.record.note("round %d: %s exits", round, leaving.ID)
+		leaving.stop()
+	})
 	sent := de.load(others, round, acked.Add(readerCut))
 	for _, pr := range proxies {
 		pr.cut.Store(false)
 	}
 	time.Sleep(readerRest)
-	late := 0
+	late, lost := 0, 0
 	for _, sr := range sent {
 		for _, li := range de.record.said("begins", sr.id) {
 			if li.Replica == leaving.ID && sr.at.Sub(acked) > drainTime {
 				late++
-				de.record.note("round %d: %s, sent to %s %v after that, reached %s", round, sr.id, sr.to, sr.at.Sub(acked).Round(time.Millisecond), leaving.ID)
+				if sr.status != http.StatusOK {
+					lost++
+				}
+				de.record.note("round %d: %s, sent to %s %v after that, reached %s; the client got %d", round, sr.id, sr.to, sr.at.Sub(acked).Round(time.Millisecond), leaving.ID, sr.status)
 			}
 		}
 	}
-	de.record.note("round %d: %d requests sent, %d reached %s although they were sent later than %v after that", round, len(sent), late, leaving.ID, drainTime)
-	leaving.stop()
+	de.record.note("round %d: %d bookings sent, %d reached %s although they were sent later than %v after that, %d of them were lost with it", round, len(sent), late, leaving.ID, drainTime, lost)
 	return late == 0, nil
 }
 
@@ -116,7 +128,7 @@
 			for count := 0; time.Now().Before(until); count++ {
 				id := fmt.Sprintf("r%d-%s-%d", round, gw.name, count)
 				sr := sentRequest{id: id, at: time.Now(), to: gw.name}
-				_ = send(gw.front, readRequest(id), time.Second)
+				sr.status = send(gw.front, bookRequest(id), 2*time.Second).status
 				mu.Lock()
 				sent = append(sent, sr)
 				mu.Unlock()
@@ -128,6 +140,12 @@
 	return sent
 }
 
+// bookRequest returns a request that must not run twice.
+func bookRequest(id string) string {
+	const body = "{}"
+	return fmt.Sprintf("POST /book/1 HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nDeadline-Ms: 1500\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s", host, id, key, len(body), body)
+}
+
 // readRequest returns an idempotent request.
 func readRequest(id string) string {
 	return fmt.Sprintf("GET /read/1 HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nDeadline-Ms: 1500\r\nAuthorization: Bearer %s\r\n\r\n", host, id, key)
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -32,6 +32,7 @@
 	"resume":  resumeCase,
 	"readers": readersCase,
 	"timeout": timeoutCase,
+	"unread":  unreadCase,
 }
 
 func main() {
