--- a/review/standin-3/replica.go
+++ b/review/standin-3/replica.go
@@ -63,6 +63,8 @@
 type run struct {
 	made int
 	stop bool
+	// cut is set if the replica breaks the stream off.
+	cut bool
 }
 
 // line is one line of what a replica did.
@@ -214,8 +216,8 @@
 		}
 	}
 	last, _ := strconv.Atoi(rq.Header.Get("Last-Event-Id"))
-	re.begun.Add(1)
-	ru := &run{made: last}
+	number := re.begun.Add(1)
+	ru := &run{made: last, cut: re.CutInside > 0 && number%int64(re.CutOneIn) == 0}
 	re.mu.Lock()
 	re.runs[id] = ru
 	re.mu.Unlock()
@@ -250,7 +252,7 @@
 			return false
 		}
 		event := re.event(id, next)
-		cut := next == re.CutInside && re.begun.Load()%int64(re.CutOneIn) == 0
+		cut := ru.cut && next == re.CutInside
 		if cut {
 			event = event[:len(event)/2]
 		}
