--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -110,6 +110,8 @@
 	memory buffer.Share
 	// scannedBytes is the number of bytes of pending that have no further end of an event.
 	scannedBytes int
+	// hasEvents is set if the caller was told that the answer is a stream of events.
+	hasEvents bool
 	// isMixed is set once another answer began where an event was due.
 	isMixed bool
 	// lastEvent is the ID of the last complete event that has one.
@@ -152,7 +154,7 @@
 	re.ticket.Started()
 	re.ticket.Answered()
 	di.Log.Info().Str("event", "first_event").Str("request", ta.ID).Str("endpoint", en.ID).Dur("took", di.Clock.Since(ta.Arrived)).Msg("dispatch: stream started")
-	se := &session{di: di, ta: ta, ctx: ctx, cancel: cancel, destination: de, answer: re.answer, ticket: re.ticket, sentAt: re.sentAt, beganAt: di.Clock.Now(), memory: buffer.Share{Budget: di.Memory}}
+	se := &session{di: di, ta: ta, ctx: ctx, cancel: cancel, destination: de, answer: re.answer, ticket: re.ticket, sentAt: re.sentAt, beganAt: di.Clock.Now(), memory: buffer.Share{Budget: di.Memory}, hasEvents: hasEvents(re.answer)}
 	if ta.service.Engine != nil && ta.service.Engine.Migrates && di.Runs != nil {
 		se.run = &migration.Run{
 			ID: ta.ID, Service: ta.service.Name, Engine: ta.service.Engine,
@@ -217,6 +219,11 @@
 	if err == nil {
 		return
 	}
+	if errors.Is(err, io.EOF) && se.endsInEvent() {
+		// Its engine may still work on the run, or send the rest behind the answer.
+		se.answer.Distrust()
+		err = errUnfinishedEvent
+	}
 	if errors.Is(err, io.EOF) && se.endsComplete() {
 		se.completeBytes = len(se.pending)
 		se.di.Log.Info().Str("event", "delivered").Str("request", se.ta.ID).Str("endpoint", se.endpoint.ID).Int("events", se.events).
@@ -232,11 +239,11 @@
 	se.continueStream(err)
 }
 
-// endsComplete reports whether io.EOF of the answer is the end of the stream.
-// If the end of the answer is not marked by its framing, but only by the end of
-// the connection, the stream counts as complete only if it ends after a complete event and
-// the engine cannot have closed it because it stopped the run. An answer without an event
-// proves nothing of a run.
+// endsComplete reports whether io.EOF of an answer, which does not end inside an event, is
+// the end of the stream. If the end of the answer is not marked by its framing, but only by
+// the end of the connection, the stream counts as complete only if it ends after a complete
+// event and the engine cannot have closed it because it stopped the run. An answer without
+// an event proves nothing of a run.
 func (se *session) endsComplete() bool {
 	if se.answer.Framed {
 		return true
--- a/internal/upstream/answer.go
+++ b/internal/upstream/answer.go
@@ -137,6 +137,10 @@
 	an.cn.close()
 }
 
+// Distrust makes Close close the connection in any case: the answer was no sound one, so that
+// its rest may follow. Like Close, it is for the goroutine that reads the answer.
+func (an *Answer) Distrust() { an.keepAlive = false }
+
 // Abort makes a blocked Read return an error. It may be called from any goroutine.
 // Close must still be called.
 func (an *Answer) Abort() { an.cn.close() }
@@ -144,6 +148,8 @@
 func newAnswer(po *Pool, cn *conn, head *fasthttp.ResponseHeader, method string) *Answer {
 	an := &Answer{Status: head.StatusCode(), pool: po, cn: cn, calls: cn.calls, Framed: true}
 	an.keepAlive = !head.ConnectionClose()
+	// What the endpoint did not say of its body stays unsaid.
+	head.SetNoDefaultContentType(true)
 	for name, value := range head.All() {
 		an.Headers = append(an.Headers, Header{Name: string(name), Value: string(value)})
 	}
