dispatch: a forwarded stream that ends inside an event has broken off

Change: its events are followed by the same eventLines; a stream that ends inside one is an error, and its connection is not used again.

Evidence: TestForwardedStreamThatEndsInsideAnEventIsBroken was red before ('length, after "id: 1\ndata: x\n\ni": <nil>') and is green now; TestForwardedStreamThatEndsBetweenEventsIsComplete keeps sound forms.

--- a/internal/dispatch/forward.go
+++ b/internal/dispatch/forward.go
@@ -119,7 +119,7 @@
 		return di.handleForwardRefused(ta, an)
 	}
 	if an.Status == http.StatusOK && ta.streams() {
-		return Reply{Status: an.Status, Headers: an.Headers, Events: &forwardedStream{di: di, ta: ta, ctx: ctx, answer: an}}, true
+		return Reply{Status: an.Status, Headers: an.Headers, Events: &forwardedStream{di: di, ta: ta, ctx: ctx, answer: an, hasEvents: hasEvents(an)}}, true
 	}
 	body, err := di.readAll(an)
 	an.Close()
@@ -170,13 +170,18 @@
 }
 
 // forwardedStream is the answer to a forwarded request whose events another instance
-// passes on. That one has checked them; a break shows as an error.
+// passes on. That one has checked them; a break shows as an error. An instance of an earlier
+// version may end a stream inside an event as if it were whole.
 type forwardedStream struct {
 	di     *Dispatcher
 	ta     *task
 	ctx    context.Context
 	answer *upstream.Answer
 	cancel context.CancelFunc
+	// lines are what was read of the events. hasEvents is set if the caller was told that
+	// there are any.
+	lines     eventLines
+	hasEvents bool
 	// whole is set once all events have been read.
 	whole bool
 }
@@ -184,9 +189,14 @@
 // Read implements io.Reader.
 func (fs *forwardedStream) Read(into []byte) (int, error) {
 	count, err := fs.answer.Read(into)
+	fs.lines.add(into[:count])
 	if err == nil {
 		return count, nil
 	}
+	if errors.Is(err, io.EOF) && fs.hasEvents && fs.lines.unfinished() {
+		fs.answer.Distrust()
+		err = errUnfinishedEvent
+	}
 	if errors.Is(err, io.EOF) && fs.answer.Framed {
 		fs.whole = true
 		fs.di.Log.Info().Str("event", "delivered").Str("request", fs.ta.ID).Bool("forwarded", true).Dur("took", fs.di.Clock.Since(fs.ta.Arrived)).Msg("dispatch: forwarded stream delivered")
--- a/internal/dispatch/forward_test.go
+++ b/internal/dispatch/forward_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -138,6 +139,40 @@
 	g.Eventually(closed, "2s").Should(BeClosed())
 }
 
+// Guards against a stream that another instance, of an earlier version, ended inside an event and
+// that this one passes on as complete.
+func TestForwardedStreamThatEndsInsideAnEventIsBroken(t *testing.T) {
+	first, body := numbered(1, 1), numbered(1, 2)
+	for _, fr := range []framing{byLength, byChunks} {
+		for end := len(first); end <= len(body); end++ {
+			g := NewWithT(t)
+			ha := newHarness(t)
+			ha.withInstances(true, streamOf(fr, eventStream, body[:end], len(first)-1))
+			got, err := readEvents(ha.send("/stream/"))
+			whole := end == len(first) || end == len(body)
+			g.Expect(err == nil).To(Equal(whole), "%s, after %q: %v", fr.name, body[:end], err)
+			g.Expect(got).To(Equal(body[:end]))
+		}
+	}
+}
+
+// Guards against a sound forwarded answer that is taken for one that broke off.
+func TestForwardedStreamThatEndsBetweenEventsIsComplete(t *testing.T) {
+	for _, ca := range []struct{ fields, body string }{
+		{eventStream, ""},
+		{eventStream, numbered(1, 1) + ": the end\n"},
+		{eventStream, strings.ReplaceAll(numbered(1, 2), "\n", "\r\n")},
+		{"Content-Type: application/json\r\n", `{"text": "no events"}`},
+	} {
+		g := NewWithT(t)
+		ha := newHarness(t)
+		ha.withInstances(true, streamOf(byChunks, ca.fields, ca.body, len(ca.body)/2))
+		got, err := readEvents(ha.send("/stream/"))
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(got).To(Equal(ca.body))
+	}
+}
+
 // A forwarded request is not forwarded again, and one that an endpoint may have run is
 // not forwarded at all.
 func TestRequestsThatAreNotForwarded(t *testing.T) {
