--- a/internal/endpoint/broken_answer_test.go
+++ b/internal/endpoint/broken_answer_test.go
@@ -112,7 +112,7 @@
 // A stream that ends before its last event is lost, wherever and however it ends.
 func TestStreamThatEndsEarlyIsLost(t *testing.T) {
 	const stream, end = "id: g/0\ndata: x\n\nid: g/1\ndata: y\n\ndata: [DONE]\n\n", "\n\n"
-	for cut := range len(stream) - len(end) {
+	for cut := range len(stream) - len(end) + 1 {
 		for name, answer := range map[string]string{
 			"before its length":     fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(stream), stream[:cut]),
 			"with its length":       fmt.Sprintf("Content-Length: %d\r\n\r\n%s", cut, stream),
