relay, roster: a reader that is cut off is no outage of the store

Cause: what one reader sees was taken for the state of the store. Who took a lost reader's place told the roster of an outage if its own confirmation was over 3 s old and anybody had reported silence. A confirmation counts from when the store was asked, and the store holds a call for a second: 3 s of age are 2 s of silence, what replacing a reader takes. Then entries that are missing count as expired in the outage, and their endpoints stay in use for 1.9 s. On a related path, one failed call of a reader over a path cut for 0.2 s did the same.

Change: relay.continuity knows when the store last answered anyone. At the first answer after a silence it is judged: an outage only if calls failed, for as long as entries take to expire (1.8 renewals, heartbeat_ms of the settings), and if no other zone's reader had answers all the while (Status.Unbroken). Only that lets the roster keep missing entries, counted from the outage's end (Roster.OutageEnd), which followers learn (Update.OutageAge). Earlier builds send none of these fields and are no witnesses; they read the rest as before. Without OutageEnd the roster decides as it did.

In the tests' fleet a call that the store holds is lost if its path is cut meanwhile; it had been answered.

--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -48,7 +48,7 @@
 	list := []controller.Controller{
 		&feed.Follower[roster.Endpoint]{
 			Kind: "endpoints", Source: gw.Adapter.Endpoints, Clock: gw.Clock, Boot: gw.Boot, Log: gw.Log, Wait: endpointsWait, Eras: &gw.eras,
-			Sink: &endpointSink{Roster: &gw.roster, onAnswer: gw.relay.CallAnswered},
+			Sink: &endpointSink{Roster: &gw.roster, onList: gw.relay.StoreAnswered, onAnswer: gw.relay.CallAnswered},
 		},
 		&feed.Follower[string]{
 			Kind: "evacuations", Source: gw.Adapter.Evacuations, Clock: gw.Clock, Boot: gw.Boot, Log: gw.Log, Wait: evacuationsWait, Eras: &gw.eras,
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -239,8 +239,8 @@
 	engines := gw.Adapter.Engines(&gw.gate)
 	mover := &migration.Mover{Engines: engines, Roster: &gw.roster, Tracker: &gw.tracker, Clock: gw.Clock, Log: gw.Log, MoveOrder: &gw.moveOrder}
 	gw.rollouts = gw.buildRollouts(mover)
-	gw.roster = roster.Roster{Clock: gw.Clock, Log: gw.Log, OnLeave: mover.Evacuate, OnChange: gw.relay.Observe}
-	gw.relay = relay.Log{Boot: gw.Boot, Roster: &gw.roster, State: &gw.state, Members: &gw.members, Now: gw.Clock.Now, Epoch: gw.Clock.Now().UnixNano(), Eras: &gw.eras, Informed: gw.isInformed}
+	gw.roster = roster.Roster{Clock: gw.Clock, Log: gw.Log, OnLeave: mover.Evacuate, OnChange: gw.relay.Observe, OutageEnd: gw.relay.OutageEnd}
+	gw.relay = relay.Log{Boot: gw.Boot, Roster: &gw.roster, State: &gw.state, Members: &gw.members, Now: gw.Clock.Now, Epoch: gw.Clock.Now().UnixNano(), Eras: &gw.eras, Informed: gw.isInformed, LapseTime: se.lapseTime()}
 	gw.buildInquiry()
 	if ro := gw.rollouts; ro != nil {
 		gw.relay.Orders = &ro.orders
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -47,6 +47,9 @@
 	// ConfigurationBound is the time within which a new configuration must be in
 	// effect. Zero means that there is no such bound.
 	ConfigurationBound time.Duration
+	// EntryRenewal is about the interval at which endpoints renew their entries in the store,
+	// which removes an entry after three of them. Zero means that it is not known.
+	EntryRenewal time.Duration
 	// ShutdownTimeout is the time from SIGTERM to SIGKILL. Values of up to 500 ms
 	// (shutdownMargin) select defaultShutdownTimeout, 8 s.
 	ShutdownTimeout time.Duration
@@ -70,6 +73,17 @@
 	return se != old
 }
 
+// lapseRenewals is the shortest outage, in renewals of entries, in which an entry may expire
+// whose endpoint lives. An entry lasts three; of these, the last one before the outage may
+// have come a little over one before it.
+const lapseRenewals = 1.8
+
+// lapseTime returns the shortest outage of the store in which an entry may expire whose
+// endpoint lives. Zero means that it is not known.
+func (se Settings) lapseTime() time.Duration {
+	return time.Duration(lapseRenewals * float64(se.EntryRenewal))
+}
+
 // member returns the entry of the instance in the list of instances. Its address is
 // the zero value if Peers is empty.
 func (se Settings) member() loadshare.Member {
--- a/internal/gateway/share.go
+++ b/internal/gateway/share.go
@@ -48,6 +48,7 @@
 		Fetch: gw.fetchConfiguration, Decode: gw.Adapter.DecodeConfiguration,
 		Roster: &gw.roster, State: &gw.state, Clock: gw.Clock, Boot: gw.Boot, Logger: gw.Log, OnPanic: gw.logPanic,
 	}
+	gw.relay.AnsweredElsewhere = gw.relaySwitch.AnsweredElsewhere
 	takes := func(name string) bool { return exchange.IsAlive(name) && !gw.stopping.Has(name) }
 	di.Alone = func() bool { return gw.aloneInZone(takes) }
 	list := gw.buildForwarding(li, di, hangups, takes)
--- a/internal/gateway/sink.go
+++ b/internal/gateway/sink.go
@@ -85,10 +85,24 @@
 // so that other instances learn how old the roster is.
 type endpointSink struct {
 	*roster.Roster
+	// onList is called before a list or changes are applied.
+	onList func()
 	// onAnswer is called with the boot time at which an answered call started.
 	onAnswer func(start time.Duration)
 }
 
+// Reset implements feed.Sink.
+func (es *endpointSink) Reset(list []feed.Object[roster.Endpoint]) {
+	es.onList()
+	es.Roster.Reset(list)
+}
+
+// Apply implements feed.Sink.
+func (es *endpointSink) Apply(list []feed.Change[roster.Endpoint]) {
+	es.onList()
+	es.Roster.Apply(list)
+}
+
 // CallAnswered implements feed.Sink.
 func (es *endpointSink) CallAnswered(start time.Duration) {
 	es.Roster.CallAnswered(start)
--- a/internal/relay/direct.go
+++ b/internal/relay/direct.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"slices"
 	"time"
 
@@ -39,23 +38,14 @@
 	// begun at about the same time.
 	replacedInterval   = 3 * time.Second
 	firstReplacedCheck = 500 * time.Millisecond
-	// lapseTime is the age of the store's last confirmation beyond which entries
-	// may be missing from the store because their endpoints could not renew them
-	// during an outage. That needs an outage: a reader that is lost leaves its
-	// followers with as old a confirmation, and then the store's list is right.
-	lapseTime = 3 * time.Second
 )
 
-var errLongUnconfirmed = errors.New("relay: the store has not confirmed anything for longer than entries last")
-
 // readDirectly follows the store until the store does not answer any more, or
 // a candidate that comes before this instance reads it.
 func (sw *Switch) readDirectly(ctx context.Context) {
 	sw.Log.setRole(role{direct: true})
-	sw.Log.ConfigurationAnswered()
-	if age, confirmed := sw.State.Age(); confirmed && age > lapseTime && (sw.el.knowsOutage() || sw.Log.StoreUnresponsive()) {
-		sw.Roster.CallFailed(errLongUnconfirmed)
-	}
+	sw.Log.forgetFailures()
+	sw.Log.observeSilence()
 	sw.Logger.Info().Str("event", "reading_store").Msg("relay: reading the store for this zone")
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -69,6 +59,7 @@
 	}()
 	ev := sw.awaitReplacement(ctx)
 	if ev.kind == storeLost {
+		sw.Log.noteFailure()
 		age, _ := sw.State.Age()
 		sw.Logger.Info().Str("event", "store_not_readable").Dur("age", age).Msg("relay: the store does not answer; leaving it to the next candidate of the zone")
 	}
--- a/internal/relay/doc.go
+++ b/internal/relay/doc.go
@@ -17,6 +17,9 @@
 // instances. A reader is followed as long as it reads. It steps down when the first
 // candidate reads again.
 //
+// What a silence of the store was, an outage or a cut path, is judged when it ends
+// (outage.go).
+//
 // What others report never keeps a zone from the store for long. While the store is
 // known not to answer, the first two candidates that can be reached try it each
 // 1.2 s, whoever they take for the reader; while it is not, an instance that got
--- a/internal/relay/find.go
+++ b/internal/relay/find.go
@@ -49,6 +49,7 @@
 		case so.err != nil:
 			ev.silent = append(ev.silent, so.member.Name)
 		case errors.Is(so.status.check(), errUnable):
+			sw.Log.noteFailure()
 			ev.unable = append(ev.unable, so.member.Name)
 		default:
 			ev.able = append(ev.able, so.member.Name)
--- a/internal/relay/follow.go
+++ b/internal/relay/follow.go
@@ -116,6 +116,7 @@
 	case err == nil:
 		ev.kind = updated
 	case errors.Is(err, errUnable):
+		sw.Log.noteFailure()
 		ev.kind = unable
 	case errors.Is(err, errStale), sw.starting() && !following && peer.IsKind(err, peer.Unreachable):
 		ev.kind, ev.wait = notReady, readyTimeout
@@ -182,6 +183,10 @@
 		sw.Log.Orders.Confirm(answered - up.OrdersAge)
 	}
 	sw.Log.CallAnswered(answered - up.EndpointsAge)
+	sw.Log.noteAnswer(answered - up.answeredAge())
+	if up.OutageAge > 0 {
+		sw.Log.noteOutage(up.OutageAge - 1 + sw.Boot.Now() - answered)
+	}
 	sw.Log.setRole(role{hops: up.Hops + 1, reader: cmp.Or(up.Reader, me.Name)})
 	err := sw.confirm(ctx, me, up, answered)
 	sw.Log.observeSilence()
@@ -197,6 +202,7 @@
 // apply passes an update to the roster and to the list of instances.
 func (sw *Switch) apply(up Update) {
 	if up.Silent {
+		sw.Log.noteFailure()
 		sw.Log.noteSilence()
 	}
 	if up.Era > 0 {
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -63,6 +63,14 @@
 	// Era is one more than the era of the store that the sender knows, or zero if it
 	// knows none.
 	Era int64
+	// AnsweredAge is one more than the time since the store last answered anyone that the
+	// sender knows of, or zero if it knows of no answer. Instances of earlier versions don't
+	// send it.
+	AnsweredAge time.Duration
+	// OutageAge is one more than the time since an outage of the store ended in which
+	// entries may have expired, or zero if there was none for long. Instances of earlier
+	// versions don't send it.
+	OutageAge time.Duration
 	// Held is how long the sender held the call open.
 	Held time.Duration
 	// HasOrders is set if Orders are all roll-outs that operators have ordered, and
@@ -96,6 +104,12 @@
 	Eras *feed.Eras
 	// Orders are the roll-outs. It is nil if operators order none.
 	Orders *Orders
+	// LapseTime is the shortest outage of the store in which entries of endpoints may expire
+	// that live. Zero means DefaultLapseTime.
+	LapseTime time.Duration
+	// AnsweredElsewhere reports whether the store has answered another instance all the
+	// while in which it did not answer this one. It may be nil if there is no other.
+	AnsweredElsewhere func(silent time.Duration) bool
 	// Informed reports whether this instance has asked others for what they know, after
 	// its start. If it is nil, it need not.
 	Informed func() bool
@@ -119,6 +133,13 @@
 	// neither ever happened. Only a confirmation from later ends the silence: another
 	// candidate that has not asked the store knows nothing of it.
 	silentSince time.Duration
+	continuity  continuity
+	// outageEnd is when an outage ended in which entries may have expired, by Now; zero if
+	// there was none.
+	outageEnd time.Time
+	// judged is closed when it is known what the end of a silence means, nil if there is
+	// none to judge.
+	judged chan struct{}
 	// failures is the number of calls about the configuration that failed since
 	// the last answered one, and failingSince the boot time of the first of them.
 	// endedAt is the boot time at which the last call was answered or failed.
@@ -252,11 +273,17 @@
 // ConfigurationAnswered records that the store answered a call about the
 // configuration.
 func (lo *Log) ConfigurationAnswered() {
+	lo.StoreAnswered()
+	lo.forgetFailures()
+	lo.observeSilence()
+}
+
+// forgetFailures begins the count of failed calls again.
+func (lo *Log) forgetFailures() {
 	now := lo.Boot.Now()
 	lo.mu.Lock()
 	lo.failures, lo.endedAt = 0, now
 	lo.mu.Unlock()
-	lo.observeSilence()
 }
 
 // ConfigurationFailed records that a call about the configuration failed.
@@ -268,6 +295,7 @@
 	}
 	lo.failures++
 	lo.endedAt = now
+	lo.continuity.noteFailure(now)
 	lo.mu.Unlock()
 	lo.noteSilence()
 }
@@ -328,9 +356,11 @@
 	if age, confirmed := lo.State.Age(); confirmed {
 		st.ConfigurationAge = age
 	}
+	now := lo.Boot.Now()
 	if lo.lastAnswer > 0 {
-		st.EndpointsAge = lo.Boot.Now() - lo.lastAnswer
+		st.EndpointsAge = now - lo.lastAnswer
 	}
+	st.Unbroken = lo.continuity.unbroken(now, lo.lapseTime())
 	return st
 }
 
@@ -345,6 +375,10 @@
 	if era, known := lo.Eras.Newest(); known {
 		up.Era = era + 1
 	}
+	if answered := lo.continuity.answered; answered > 0 {
+		up.AnsweredAge = lo.Boot.Now() - answered + 1
+	}
+	up.OutageAge = lo.outageAge()
 	up.Orders, up.OrdersAge, up.HasOrders = lo.Orders.current()
 	known := false
 	if qu.Epoch == lo.Epoch {
--- a/internal/relay/service.go
+++ b/internal/relay/service.go
@@ -63,6 +63,9 @@
 	// confirmed the configuration and the endpoints.
 	ConfigurationAge time.Duration
 	EndpointsAge     time.Duration
+	// Unbroken is for how long the store has answered, the sender or others, without a pause
+	// in which entries may expire. Instances of earlier versions send zero.
+	Unbroken time.Duration
 	// Version is one more than the version of the configuration in force, or one if there
 	// is none. Instances of earlier versions leave it zero.
 	Version int64
--- a/internal/relay/zone_test.go
+++ b/internal/relay/zone_test.go
@@ -40,6 +40,9 @@
 	// it answers none.
 	rejected map[string]bool
 	down     bool
+	// silent is set if calls that are not answered are lost without an error, until they
+	// time out.
+	silent bool
 	// frozen are the instances that stand still: neither they nor calls to them get
 	// answers.
 	frozen map[string]bool
@@ -86,7 +89,7 @@
 	fl := mb.fl
 	ctx, mb.stop = context.WithCancel(ctx)
 	mb.stopped = false
-	mb.roster = roster.Roster{Clock: fl.clock, Log: zerolog.Nop(), OnChange: func() { mb.log.Observe() }}
+	mb.roster = roster.Roster{Clock: fl.clock, Log: zerolog.Nop(), OnChange: func() { mb.log.Observe() }, OutageEnd: mb.log.OutageEnd}
 	mb.state = routing.State{Clock: fl.boot}
 	mb.members = loadshare.Members{}
 	mb.members.Set(fl.registry)
@@ -98,6 +101,7 @@
 		Roster: &mb.roster, State: &mb.state, Clock: fl.clock, Boot: fl.boot, Logger: zerolog.Nop(),
 	}
 	sw.Others = append(sw.Others, storeReader{mb: mb})
+	mb.log.AnsweredElsewhere = sw.AnsweredElsewhere
 	go func() { _ = sw.Run(ctx) }()
 }
 
@@ -201,9 +205,12 @@
 	return mb.log.role.direct
 }
 
-func (mb *member) fetch(context.Context) error {
+func (mb *member) fetch(ctx context.Context) error {
 	begun := mb.fl.boot.Now()
 	version, err := mb.fl.call(mb.self.Name)
+	if err != nil && mb.fl.isSilent() {
+		pause.For(ctx, mb.fl.clock, callTimeout)
+	}
 	if err == nil {
 		mb.state.Put(newNumber(version))
 		mb.state.Confirm(begun)
@@ -236,17 +243,13 @@
 	for first := true; ctx.Err() == nil; first = false {
 		begun := fl.boot.Now()
 		version, err := fl.call(sr.mb.self.Name)
+		list := fl.endpoints()
 		pause.For(ctx, fl.clock, fl.currentLatency())
 		for fl.isFrozen(sr.mb.self.Name) && ctx.Err() == nil {
 			pause.For(ctx, fl.clock, 10*time.Millisecond)
 		}
 		if err != nil {
-			if sr.confirm {
-				sr.mb.log.ConfigurationFailed()
-			} else {
-				sr.mb.roster.CallFailed(err)
-			}
-			pause.For(ctx, fl.clock, 400*time.Millisecond)
+			sr.fail(ctx, err)
 			continue
 		}
 		if !first {
@@ -255,6 +258,11 @@
 		if ctx.Err() != nil {
 			return nil
 		}
+		if fl.isSilentFor(sr.mb.self.Name) {
+			// A call that the store holds is lost with its path.
+			sr.fail(ctx, errors.New("the call was cut off"))
+			continue
+		}
 		if sr.confirm {
 			if sr.mb.state.Put(newNumber(version)) {
 				sr.mb.log.Observe()
@@ -263,15 +271,47 @@
 			sr.mb.log.ConfigurationAnswered()
 			continue
 		}
-		if first {
-			sr.mb.roster.Reset(fl.endpoints())
-		}
+		sr.mb.log.StoreAnswered()
+		sr.mb.roster.Reset(list)
 		sr.mb.roster.CallAnswered(begun)
 		sr.mb.log.CallAnswered(begun)
 	}
 	return nil
 }
 
+// callTimeout is how long a call lasts that is lost.
+const callTimeout = 1200 * time.Millisecond
+
+// fail reports a call that was not answered, and pauses.
+func (sr storeReader) fail(ctx context.Context, err error) {
+	fl := sr.mb.fl
+	if fl.isSilent() {
+		pause.For(ctx, fl.clock, callTimeout)
+	}
+	if ctx.Err() != nil {
+		return
+	}
+	if sr.confirm {
+		sr.mb.log.ConfigurationFailed()
+	} else {
+		sr.mb.roster.CallFailed(err)
+	}
+	pause.For(ctx, fl.clock, 400*time.Millisecond)
+}
+
+func (fl *fleet) isSilent() bool {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	return fl.silent
+}
+
+// isSilentFor reports whether the store does not answer an instance.
+func (fl *fleet) isSilentFor(name string) bool {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	return fl.down || fl.rejected[name]
+}
+
 // runFleet starts a fleet, lets it settle and calls test.
 func runFleet(t *testing.T, zones, perZone int, test func(g *WithT, fl *fleet)) {
 	t.Helper()
--- a/internal/roster/doc.go
+++ b/internal/roster/doc.go
@@ -9,7 +9,8 @@
 //
 // Entries expire while the store is unavailable, whether or not their
 // endpoints still run. Entries that are missing when the store recovers are
-// retained for a grace period, because running endpoints re-register.
+// retained for a grace period, because running endpoints re-register. Whether it
+// was unavailable, or only out of this instance's reach, OutageEnd tells.
 //
 // # Usage
 //
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -54,6 +54,10 @@
 	// OnChange is called, without locks held, each time a view is published. It
 	// may be nil.
 	OnChange func()
+	// OutageEnd returns when an outage of the store last ended in which entries may have
+	// expired, or the zero time. A failed call alone shows none: only the path of this
+	// instance may have failed. If OutageEnd is nil, each failed call counts as an outage.
+	OutageEnd func() time.Time
 
 	mu        sync.Mutex
 	endpoints map[string]Endpoint
@@ -74,7 +78,8 @@
 	// or changes, storeUnresponsive until it next answers any call.
 	storeLost         bool
 	storeUnresponsive bool
-	// restoredAt is when storeLost was last cleared; zero if it never was.
+	// restoredAt is when the store last recovered from an outage, or was restored from a
+	// copy; zero if it never did.
 	restoredAt time.Time
 	view       snapshot.Holder[View]
 }
@@ -250,8 +255,16 @@
 // an outage.
 func (ro *Roster) markStoreAnswered(now time.Time) {
 	ro.storeUnresponsive = false
-	if ro.storeLost {
-		ro.storeLost, ro.restoredAt = false, now
+	lost := ro.storeLost
+	ro.storeLost = false
+	if lost && (ro.OutageEnd == nil || ro.restored) {
+		ro.restoredAt = now
+	}
+	if ro.OutageEnd == nil {
+		return
+	}
+	if end := ro.OutageEnd(); end.After(ro.restoredAt) {
+		ro.restoredAt = end
 	}
 }
 
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"testing"
 	"time"
 
@@ -292,3 +293,51 @@
 		})
 	}
 }
+
+// Guards against a failed call of this instance alone that counts as an outage of the store:
+// endpoints that were gone stayed in use (review/12). After an outage, the grace period counts
+// from its end, whenever the list arrives.
+func TestOutageIsToldByOutageEnd(t *testing.T) {
+	for _, ca := range []struct {
+		name string
+		// ended is how long ago an outage ended when the list arrives, zero if there was none.
+		ended time.Duration
+		kept  bool
+	}{
+		{"no outage", 0, false},
+		{"an outage", time.Millisecond, true},
+		{"an outage of a while ago", reregisterGracePeriod - time.Millisecond, true},
+		{"an outage of long ago", reregisterGracePeriod, false},
+	} {
+		for _, failed := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%s, failed call %t", ca.name, failed), func(t *testing.T) {
+				g := NewWithT(t)
+				fx := newFixture()
+				var end time.Time
+				fx.OutageEnd = func() time.Time { return end }
+				fx.Reset([]feed.Object[Endpoint]{object("e1")})
+				if failed {
+					fx.CallFailed(errors.New("no answer"))
+				}
+				fx.clock.Advance(5 * time.Second)
+				if ca.ended > 0 {
+					end = fx.clock.Now().Add(-ca.ended)
+				}
+				fx.Apply(removed("e1"))
+				g.Expect(len(fx.ready()) > 0).To(Equal(ca.kept))
+				fx.clock.Advance(reregisterGracePeriod - ca.ended)
+				fx.RemoveExpired()
+				g.Expect(fx.ready()).To(BeEmpty())
+			})
+		}
+	}
+	t.Run("a store that was restored from a copy", func(t *testing.T) {
+		g := NewWithT(t)
+		fx := newFixture()
+		fx.OutageEnd = func() time.Time { return time.Time{} }
+		fx.Reset([]feed.Object[Endpoint]{object("e1")})
+		fx.Restored()
+		fx.Reset(nil)
+		g.Expect(fx.ready()).To(Equal([]string{"e1"}))
+	})
+}
