--- a/internal/relay/direct.go
+++ b/internal/relay/direct.go
@@ -79,6 +79,7 @@
 	asked := begun.Add(firstReplacedCheck - replacedInterval)
 	for ctx.Err() == nil {
 		sw.pause(ctx, directCheckInterval)
+		sw.Log.checkDoubt()
 		answered := sw.confirmedSince(beganAt)
 		if sw.isUnable(answered, sw.Clock.Since(begun)) {
 			return event{kind: storeLost, answered: answered}
--- a/internal/relay/doc.go
+++ b/internal/relay/doc.go
@@ -17,8 +17,10 @@
 // instances. A reader is followed as long as it reads. It steps down when the first
 // candidate reads again.
 //
-// What a silence of the store was, an outage or a cut path, is judged when it ends
-// (outage.go).
+// A reader that waits for an answer for longer than one takes says so. The first two
+// others of its zone then ask the store, since the reader may only be cut off from it; one
+// that gets an answer reads the store. What a silence was, an outage or a cut path, is
+// judged when it ends (outage.go).
 //
 // What others report never keeps a zone from the store for long. While the store is
 // known not to answer, the first two candidates that can be reached try it each
--- a/internal/relay/election.go
+++ b/internal/relay/election.go
@@ -41,6 +41,8 @@
 	storeAnswered
 	// storeLost: the store does not answer this instance, which read it.
 	storeLost
+	// reached: the store answered this instance, but not the reader that it follows.
+	reached
 	// replaced: a candidate that comes before this instance reads the store.
 	replaced
 )
@@ -110,6 +112,7 @@
 //	following --notReady--> following for a while; then as for unable
 //	following --unable--> the next candidate, or searching if the state is old
 //	following --unreachable--> searching
+//	following --reached--> reading
 //	searching --searched--> following, reading or resting
 //	reading --storeLost--> the next candidate, or searching if the state is old
 //	reading --replaced--> following
@@ -170,6 +173,9 @@
 		el.served, el.confirmed, el.proven = ev.at, ev.at.Add(-ev.age), el.self
 	case storeLost:
 		el.handleStoreLost(ev)
+	case reached:
+		el.passOver(ev, ev.name)
+		el.read(ev)
 	case replaced:
 		delete(el.lost, ev.name)
 		delete(el.unable, ev.name)
@@ -246,12 +252,14 @@
 	case "":
 		el.search(true)
 	case el.self:
-		el.phase, el.attempted, el.awaited = reading, ev.at, ""
+		el.read(ev)
 	default:
 		el.phase, el.source, el.alternative = following, name, false
 	}
 }
 
+func (el *election) read(ev event) { el.phase, el.attempted, el.awaited = reading, ev.at, "" }
+
 // decideOrSearch searches for any fresh source first if this instance's state is old.
 func (el *election) decideOrSearch(ev event) {
 	if ev.age > maxOwnConfirmationAge {
--- a/internal/relay/follow.go
+++ b/internal/relay/follow.go
@@ -100,6 +100,10 @@
 			following = true
 			sw.Logger.Info().Str("event", "reader_followed").Str("reader", me.Name).Int("hops", up.Hops).Msg("relay: following a reader")
 		}
+		if up.Doubtful && sw.reachesStore(ctx, me) {
+			sw.handle(event{kind: reached, name: me.Name})
+			return errOtherTurn
+		}
 		qu, retried = nextQuery(up), false
 		if sw.el.proven != cmp.Or(up.Reader, me.Name) {
 			qu.Wait = readyPollInterval
--- a/internal/relay/lapse_test.go
+++ b/internal/relay/lapse_test.go
@@ -30,9 +30,29 @@
 	}
 }
 
-// Guards against readers that are cut off from the store and taken for an outage: where the store
-// answers slowly, so that confirmations are old when somebody takes a reader's place, endpoints
-// that were gone were kept for 1.9 s more (review/12).
+// Guards against the readers of all zones that are cut off from the store and taken for an
+// outage: those who took their place kept endpoints that were gone (review/12).
+func TestCutReadersAreNoOutage(t *testing.T) {
+	for _, zones := range []int{1, 2, 3} {
+		for _, silent := range []bool{false, true} {
+			for offset := range 10 {
+				t.Run(fmt.Sprintf("%d zones, at %d00 ms, silent %t", zones, offset, silent), func(t *testing.T) {
+					runFleet(t, zones, 10, func(g *WithT, fl *fleet) {
+						time.Sleep(4*time.Second + time.Duration(offset)*100*time.Millisecond)
+						readers := fl.readerNames()
+						g.Expect(readers).To(HaveLen(zones))
+						fl.cut(readers...)
+						fl.set(func() { fl.removed, fl.silent = true, silent })
+						fl.expectGone(g, changeBound)
+					})
+				})
+			}
+		}
+	}
+}
+
+// Guards against the same where the store answers slowly, so that confirmations are old when
+// somebody takes a reader's place: endpoints that were gone were kept for 1.9 s more.
 func TestSuccessorsOfCutReadersKeepNothing(t *testing.T) {
 	const latency, anyTakeover = 200 * time.Millisecond, 3 * time.Second
 	for _, zones := range []int{1, 2, 3} {
@@ -50,6 +70,26 @@
 	}
 }
 
+// Guards against a zone that waits for each of its first candidates in turn when they are cut
+// off from the store at once: the others learnt too late that an endpoint was gone (review/12).
+func TestZoneWithoutItsFirstCandidates(t *testing.T) {
+	for offset := range 10 {
+		for _, zones := range []int{1, 2} {
+			t.Run(fmt.Sprintf("%d zones, at %d00 ms", zones, offset), func(t *testing.T) {
+				runFleet(t, zones, 10, func(g *WithT, fl *fleet) {
+					time.Sleep(4*time.Second + time.Duration(offset)*100*time.Millisecond)
+					for zone := range zones {
+						list := candidates(fl.registry, fl.instances[10*zone].self, fl.alive)
+						fl.cut(list[0].Name, list[1].Name)
+					}
+					fl.set(func() { fl.removed, fl.silent = true, true })
+					fl.expectGone(g, changeBound)
+				})
+			})
+		}
+	}
+}
+
 // Guards against the same with readers that are cut off one after the other, each soon after
 // it has taken the place of the one before.
 func TestReadersCutOneAfterAnotherAreNoOutage(t *testing.T) {
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -71,6 +71,9 @@
 	// entries may have expired, or zero if there was none for long. Instances of earlier
 	// versions don't send it.
 	OutageAge time.Duration
+	// Doubtful is set if the sender reads the store and waits for an answer for longer than
+	// one takes. Instances of earlier versions don't send it.
+	Doubtful bool
 	// Held is how long the sender held the call open.
 	Held time.Duration
 	// HasOrders is set if Orders are all roll-outs that operators have ordered, and
@@ -156,6 +159,9 @@
 	direct bool
 	// unable is set after the store did not answer, until the next attempt.
 	unable bool
+	// doubtful is set while the instance reads the store and has waited for an answer for
+	// longer than one takes.
+	doubtful bool
 	// hops is the number of instances between this one and the store, and reader
 	// the one of them that reads it.
 	hops   int
@@ -222,11 +228,16 @@
 	stopped := lo.role.direct && !ro.direct
 	lo.role = ro
 	if stopped {
-		lo.endpoints.append("")
-		lo.wakeAll()
+		lo.tellFollowers()
 	}
 }
 
+// tellFollowers answers all held calls with the present role. The caller holds mu.
+func (lo *Log) tellFollowers() {
+	lo.endpoints.append("")
+	lo.wakeAll()
+}
+
 // noteSilence records that the store does not answer this instance or the reader that
 // it follows.
 func (lo *Log) noteSilence() {
@@ -378,7 +389,7 @@
 	if answered := lo.continuity.answered; answered > 0 {
 		up.AnsweredAge = lo.Boot.Now() - answered + 1
 	}
-	up.OutageAge = lo.outageAge()
+	up.OutageAge, up.Doubtful = lo.outageAge(), lo.role.doubtful
 	up.Orders, up.OrdersAge, up.HasOrders = lo.Orders.current()
 	known := false
 	if qu.Epoch == lo.Epoch {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -279,4 +279,5 @@
 	g.Expect(gob.NewDecoder(&buffer).Decode(&up)).To(Succeed())
 	g.Expect(up.status()).To(Equal(Status{Direct: true, ConfigurationAge: 5 * time.Second, EndpointsAge: time.Second}))
 	g.Expect(up.status().check()).To(MatchError(errStale))
+	g.Expect(up.answeredAge()).To(Equal(5*time.Second), "it does not tell when the store answered")
 }
