--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -52,6 +52,9 @@
 	// Key is the caller's API key. HasKey reports whether the request had one.
 	Key    string
 	HasKey bool
+	// LastEvent is the ID of the event behind which the caller asks for the rest of a stream.
+	// It is empty if the caller asks for the whole stream. Headers have it, too.
+	LastEvent string
 	// Credential is the received header value that contains the key.
 	Credential string
 	// CallerTimeout is how long the caller waits, counted from Arrived. Zero
@@ -71,8 +74,9 @@
 	Source string
 	// Handle is the ID of the copy.
 	Handle string
-	// LastEvent is the ID of the last event that the caller received. It is
-	// empty if there is none.
+	// LastEvent is the ID of the last event that the caller received, now or, as
+	// Request.LastEvent says, before. It is empty if there is none. It takes the place of
+	// the one in Request.Headers.
 	LastEvent string
 }
 
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -114,7 +114,8 @@
 	hasEvents bool
 	// isMixed is set once another answer began where an event was due.
 	isMixed bool
-	// lastEvent is the ID of the last complete event that has one.
+	// lastEvent is the ID of the last complete event that has one. Before that, it is the one
+	// behind which the caller asked to go on.
 	lastEvent string
 	events    int
 	// answerFrom is the number of events before the current answer.
@@ -154,7 +155,7 @@
 	re.ticket.Started()
 	re.ticket.Answered()
 	di.Log.Info().Str("event", "first_event").Str("request", ta.ID).Str("endpoint", en.ID).Dur("took", di.Clock.Since(ta.Arrived)).Msg("dispatch: stream started")
-	se := &session{di: di, ta: ta, ctx: ctx, cancel: cancel, destination: de, answer: re.answer, ticket: re.ticket, sentAt: re.sentAt, beganAt: di.Clock.Now(), memory: buffer.Share{Budget: di.Memory}, hasEvents: hasEvents(re.answer)}
+	se := &session{di: di, ta: ta, ctx: ctx, cancel: cancel, destination: de, answer: re.answer, ticket: re.ticket, sentAt: re.sentAt, beganAt: di.Clock.Now(), memory: buffer.Share{Budget: di.Memory}, hasEvents: hasEvents(re.answer), lastEvent: ta.LastEvent}
 	if ta.service.Engine != nil && ta.service.Engine.Migrates && di.Runs != nil {
 		se.run = &migration.Run{
 			ID: ta.ID, Service: ta.service.Name, Engine: ta.service.Engine,
