dispatch: events without an ID do not come twice when a run goes on elsewhere

What callers would see: events without an ID twice after their engine was lost, or, if none had an ID, the whole stream once more.

It is told an ID and sends what follows; events behind that one without an ID come again, and nothing looked for them. Of two IDs of an event the first counted, not the last.

Change: position.go keeps the caller's place: the last ID and digests of the events behind it. An engine where the run goes on must send these again, byte for byte; they are left out. Otherwise the stream breaks off, as a piece would be missing, twice or of another run. Comments are no events. A run that has more of them than are kept stays where it is.

--- a/internal/dispatch/copycall.go
+++ b/internal/dispatch/copycall.go
@@ -181,6 +181,6 @@
 	se.standby = di.reserveStandby(ta, mv.Target, se.demand)
 	return Attempt{
 		Endpoint: mv.Target, Remaining: ta.remaining(di.Clock.Now()), Team: ta.team, PassCredential: ta.passCredential, Standby: se.standby.address(),
-		Resume: &Resume{Source: mv.From.Address, Handle: mv.Handle, LastEvent: se.lastEvent},
+		Resume: &Resume{Source: mv.From.Address, Handle: mv.Handle, LastEvent: se.position.lastEvent},
 	}
 }
--- a/internal/dispatch/resume.go
+++ b/internal/dispatch/resume.go
@@ -22,7 +22,15 @@
 	se.answer.Close()
 	se.pending = se.pending[:se.completeBytes]
 	se.scannedBytes = se.completeBytes
-	se.isMixed = false
+	se.scanErr = nil
+	if errors.Is(cause, errDiverged) {
+		se.fail(cause)
+		return
+	}
+	if se.position.lost {
+		se.fail(errors.Join(errNoPosition, cause))
+		return
+	}
 	for se.failedCalls = 0; se.failedCalls < maxFailedCalls && se.ctx.Err() == nil && se.moves < maxMoves; se.failedCalls++ {
 		unreachable := se.stall.foundUnreachable()
 		se.stopStallWatch()
@@ -151,10 +159,11 @@
 		return err
 	}
 	di.Log.Info().Str("event", "resumed").Str("request", se.ta.ID).Str("endpoint", se.endpoint.ID).
-		Str("target", mv.Target.ID).Str("last_event", se.lastEvent).Msg("dispatch: stream resumed")
+		Str("target", mv.Target.ID).Str("last_event", se.position.lastEvent).Int("unnamed", len(se.position.unnamed)).Msg("dispatch: stream resumed")
 	di.Meter.countAttempt("resumed")
 	se.endpoint, se.answer, se.ticket = mv.Target, an, mv.Ticket
 	se.answerFrom, se.accounted, se.beganAt = se.events, false, di.Clock.Now()
+	se.position.beginAnswer()
 	se.ticket.Answered()
 	se.startStallWatch(mv.Target, an.Abort)
 	if se.run != nil {
--- a/internal/dispatch/standby.go
+++ b/internal/dispatch/standby.go
@@ -123,6 +123,6 @@
 	ti := se.di.Tracker.Begin(en, se.demand)
 	ti.Started()
 	se.di.Log.Info().Str("event", "taken_over").Str("request", se.ta.ID).Str("endpoint", se.endpoint.ID).Str("target", en.ID).
-		Str("last_event", se.lastEvent).Msg("dispatch: resuming the run from its standby copy")
+		Str("last_event", se.position.lastEvent).Msg("dispatch: resuming the run from its standby copy")
 	return migration.Moved{From: en, Handle: se.ta.ID, Target: en, Ticket: ti}, true
 }
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"time"
 
 	"filbertstall.example/filbertstall/internal/buffer"
@@ -112,12 +113,13 @@
 	scannedBytes int
 	// hasEvents is set if the caller was told that the answer is a stream of events.
 	hasEvents bool
-	// isMixed is set once another answer began where an event was due.
-	isMixed bool
-	// lastEvent is the ID of the last complete event that has one. Before that, it is the one
-	// behind which the caller asked to go on.
-	lastEvent string
-	events    int
+	// scanErr is set once something stood where an event was due that must not be passed on.
+	scanErr error
+	// position is the place behind which the run goes on elsewhere.
+	position position
+	// kept is set once the run can't go on elsewhere and is not moved any more.
+	kept   bool
+	events int
 	// answerFrom is the number of events before the current answer.
 	answerFrom int
 	endErr     error
@@ -155,7 +157,7 @@
 	re.ticket.Started()
 	re.ticket.Answered()
 	di.Log.Info().Str("event", "first_event").Str("request", ta.ID).Str("endpoint", en.ID).Dur("took", di.Clock.Since(ta.Arrived)).Msg("dispatch: stream started")
-	se := &session{di: di, ta: ta, ctx: ctx, cancel: cancel, destination: de, answer: re.answer, ticket: re.ticket, sentAt: re.sentAt, beganAt: di.Clock.Now(), memory: buffer.Share{Budget: di.Memory}, hasEvents: hasEvents(re.answer), lastEvent: ta.LastEvent}
+	se := &session{di: di, ta: ta, ctx: ctx, cancel: cancel, destination: de, answer: re.answer, ticket: re.ticket, sentAt: re.sentAt, beganAt: di.Clock.Now(), memory: buffer.Share{Budget: di.Memory}, hasEvents: hasEvents(re.answer), position: position{lastEvent: ta.LastEvent, isPlain: !hasEvents(re.answer)}}
 	if ta.service.Engine != nil && ta.service.Engine.Migrates && di.Runs != nil {
 		se.run = &migration.Run{
 			ID: ta.ID, Service: ta.service.Name, Engine: ta.service.Engine,
@@ -203,17 +205,17 @@
 	count, err := se.answer.Read(buffer[:])
 	se.pending = append(se.pending, buffer[:count]...)
 	before := se.events
-	se.scanEvents()
+	arrived := se.scanEvents()
 	if before == 0 && se.events > 0 {
 		se.di.recordAnswer(se.ta, se.endpoint, se.sentAt, false)
 	}
-	if se.events > before {
+	if arrived > 0 {
 		se.stall.eventArrived()
 		se.checkProven()
 	}
 	switch {
-	case se.isMixed:
-		err = errMixed
+	case se.scanErr != nil:
+		err = se.scanErr
 	case err == nil && !se.fitsInMemory():
 		err = errEventTooLarge
 	}
@@ -244,8 +246,11 @@
 // the end of the stream. If the end of the answer is not marked by its framing, but only by
 // the end of the connection, the stream counts as complete only if it ends after a complete
 // event and the engine cannot have closed it because it stopped the run. An answer without
-// an event proves nothing of a run.
+// an event proves nothing of a run, and one that lacks events that the caller has is not its rest.
 func (se *session) endsComplete() bool {
+	if se.position.due > 0 {
+		return false
+	}
 	if se.answer.Framed {
 		return true
 	}
@@ -280,9 +285,10 @@
 
 var eventDelimiter = []byte("\n\n")
 
-// scanEvents counts the complete events in pending.
-func (se *session) scanEvents() {
-	for {
+// scanEvents counts the complete events in pending, and removes those that the caller has.
+// It returns the number of both.
+func (se *session) scanEvents() (arrived int) {
+	for se.scanErr == nil {
 		// The delimiter may begin with the last byte that was scanned.
 		from := max(se.completeBytes, se.scannedBytes-len(eventDelimiter)+1)
 		end := bytes.Index(se.pending[from:], eventDelimiter)
@@ -293,19 +299,40 @@
 		end += from - se.completeBytes
 		event := se.pending[se.completeBytes : se.completeBytes+end]
 		if beginsAnswer(event) {
-			se.isMixed = true
+			se.scanErr = errMixed
 			break
 		}
-		se.completeBytes += end + len(eventDelimiter)
-		if id := eventID(event); id != "" {
-			se.lastEvent = id
-		}
-		se.events++
-		se.logPause()
+		se.takeEvent(event, end+len(eventDelimiter))
+		arrived++
 	}
 	if se.run != nil {
 		se.run.SetEvents(se.events)
 	}
+	return arrived
+}
+
+// takeEvent takes the next event of pending, which has a size with its delimiter.
+func (se *session) takeEvent(event []byte, size int) {
+	switch se.position.take(event) {
+	case isOther:
+		se.scanErr = errDiverged
+	case isRepeated:
+		se.pending = slices.Delete(se.pending, se.completeBytes, se.completeBytes+size)
+		se.scannedBytes = se.completeBytes
+	case isNext:
+		se.completeBytes += size
+		se.events++
+		se.logPause()
+		se.keepIfLost()
+	}
+}
+
+// keepIfLost takes care that the run of a stream that can't go on elsewhere is not moved.
+func (se *session) keepIfLost() {
+	if se.position.lost && !se.kept && se.run != nil {
+		se.kept = true
+		se.di.Runs.Remove(se.run)
+	}
 }
 
 var errMixed = errors.New("dispatch: another answer begins where an event is due")
@@ -332,16 +359,6 @@
 	se.lastEventAt = now
 }
 
-// eventID returns the ID of an event, or an empty string if it has none.
-func eventID(event []byte) string {
-	for line := range bytes.SplitSeq(event, []byte("\n")) {
-		if id, found := bytes.CutPrefix(line, []byte("id:")); found {
-			return string(bytes.TrimSpace(id))
-		}
-	}
-	return ""
-}
-
 // requestMoves asks again for the runs of a leaving engine to be moved. This is
 // needed for a run that starts after the engine began to leave.
 func (di *Dispatcher) requestMoves(en roster.Endpoint) {
@@ -355,7 +372,7 @@
 func (se *session) fail(cause error) {
 	if se.ctx.Err() == nil {
 		se.di.Log.Info().Str("event", "stream_broken").Str("request", se.ta.ID).Str("endpoint", se.endpoint.ID).
-			Int("events", se.events).Str("last_event", se.lastEvent).Int("moves", se.moves).AnErr("cause", cause).Msg("dispatch: stream interrupted and not resumed")
+			Int("events", se.events).Str("last_event", se.position.lastEvent).Int("moves", se.moves).AnErr("cause", cause).Msg("dispatch: stream interrupted and not resumed")
 		se.di.Meter.countAttempt("stream_broken")
 		if !se.accounted {
 			se.di.reportCrash(se.ta, se.endpoint, se.crashFeatures()...)
