dispatch: one ending for own and forwarded streams; events in a file of their own

Cause: session and forwardedStream each had the lines for an answer that ends inside an event, for a delivered stream and for one that broke off, and a field hasEvents. A caller who left while another instance served the stream counted as a broken stream at the instance that it was connected to (stream_broken, attempts{how="stream_broken"}), unlike at the one that served it; trace then named no endpoint.

Change: ending.go has these once (endOfAnswer, logDelivered, logIncomplete); eventLines knows by itself that an answer has no events; such a line is stream_given_up now, and trace prefers the line of the instance that served the stream.

Evidence: TestForwardedStreamWhoseCallerLeft and the new half of TestTraceOfForwardedRequest are new; ./internal/dispatch, ./internal/trace pass.

--- a/internal/dispatch/forward.go
+++ b/internal/dispatch/forward.go
@@ -9,10 +9,11 @@
 	"strconv"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"filbertstall.example/filbertstall/internal/refusal"
 	"filbertstall.example/filbertstall/internal/roster"
 	"filbertstall.example/filbertstall/internal/routing"
-	"filbertstall.example/filbertstall/internal/shutdown"
 	"filbertstall.example/filbertstall/internal/upstream"
 )
 
@@ -119,7 +120,7 @@
 		return di.handleForwardRefused(ta, an)
 	}
 	if an.Status == http.StatusOK && ta.streams() {
-		return Reply{Status: an.Status, Headers: an.Headers, Events: &forwardedStream{di: di, ta: ta, ctx: ctx, answer: an, hasEvents: hasEvents(an)}}, true
+		return Reply{Status: an.Status, Headers: an.Headers, Events: &forwardedStream{di: di, ta: ta, ctx: ctx, answer: an, lines: eventLines{isPlain: !hasEvents(an)}}}, true
 	}
 	body, err := di.readAll(an)
 	an.Close()
@@ -178,10 +179,8 @@
 	ctx    context.Context
 	answer *upstream.Answer
 	cancel context.CancelFunc
-	// lines are what was read of the events. hasEvents is set if the caller was told that
-	// there are any.
-	lines     eventLines
-	hasEvents bool
+	// lines are what was read of the events.
+	lines eventLines
 	// whole is set once all events have been read.
 	whole bool
 }
@@ -193,24 +192,19 @@
 	if err == nil {
 		return count, nil
 	}
-	if errors.Is(err, io.EOF) && fs.hasEvents && fs.lines.unfinished() {
-		fs.answer.Distrust()
-		err = errUnfinishedEvent
-	}
+	err = endOfAnswer(fs.answer, fs.lines, err)
 	if errors.Is(err, io.EOF) && fs.answer.Framed {
 		fs.whole = true
-		fs.di.Log.Info().Str("event", "delivered").Str("request", fs.ta.ID).Bool("forwarded", true).Dur("took", fs.di.Clock.Since(fs.ta.Arrived)).Msg("dispatch: forwarded stream delivered")
+		fs.di.logDelivered(fs.ta).Func(fs.describe).Msg("dispatch: forwarded stream delivered")
 		return count, io.EOF
 	}
-	if shutdown.IsCause(context.Cause(fs.ctx)) {
-		fs.di.logCut(fs.ta, 0)
-		return count, errStreamBroken
-	}
-	fs.di.Log.Info().Str("event", "stream_broken").Str("request", fs.ta.ID).Bool("forwarded", true).AnErr("cause", err).Msg("dispatch: forwarded stream interrupted")
-	fs.di.Meter.countAttempt("stream_broken")
+	fs.di.logIncomplete(fs.ctx, fs.ta, err, 0, fs.describe)
 	return count, errStreamBroken
 }
 
+// describe adds to a log line that another instance served the stream.
+func (fs *forwardedStream) describe(li *zerolog.Event) { li.Bool("forwarded", true) }
+
 // Close implements io.Closer. It cancels the request if the stream has not ended.
 func (fs *forwardedStream) Close() error {
 	fs.ta.answer.End(fs.di.Clock.Now(), fs.whole)
--- a/internal/dispatch/forward_test.go
+++ b/internal/dispatch/forward_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -12,6 +13,7 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
 
 	"filbertstall.example/filbertstall/internal/refusal"
 	"filbertstall.example/filbertstall/internal/upstream"
@@ -139,6 +141,23 @@
 	g.Eventually(closed, "2s").Should(BeClosed())
 }
 
+// Guards against a stream that counts as broken, at the instance that the caller is connected to,
+// because the caller left while another instance served it.
+func TestForwardedStreamWhoseCallerLeft(t *testing.T) {
+	g := NewWithT(t)
+	ha := newHarness(t)
+	ha.withInstances(true, threeEvents)
+	var log bytes.Buffer
+	ha.Log = zerolog.New(&log)
+	ctx, cancel := context.WithCancel(t.Context())
+	rp := ha.Serve(ctx, ha.request("/stream/"))
+	cancel()
+	_, err := readEvents(rp)
+	g.Expect(err).To(HaveOccurred())
+	g.Expect(log.String()).To(ContainSubstring(`"forwarded":true,"event":"stream_given_up"`))
+	g.Expect(log.String()).NotTo(ContainSubstring("stream_broken"))
+}
+
 // Guards against a stream that another instance, of an earlier version, ended inside an event and
 // that this one passes on as complete.
 func TestForwardedStreamThatEndsInsideAnEventIsBroken(t *testing.T) {
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -1,20 +1,19 @@
 package dispatch
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
 	"io"
 	"net/http"
-	"slices"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"filbertstall.example/filbertstall/internal/buffer"
 	"filbertstall.example/filbertstall/internal/migration"
 	"filbertstall.example/filbertstall/internal/placement"
 	"filbertstall.example/filbertstall/internal/roster"
-	"filbertstall.example/filbertstall/internal/shutdown"
 	"filbertstall.example/filbertstall/internal/suspicion"
 	"filbertstall.example/filbertstall/internal/upstream"
 )
@@ -51,9 +50,6 @@
 // errNoBudget means that no further call at a copy is within the budget of repeats.
 var errNoBudget = errors.New("dispatch: the budget of repeats allows no further call at a copy")
 
-// errStreamBroken is the read error of an incomplete stream.
-var errStreamBroken = errors.New("dispatch: stream interrupted and cannot be resumed")
-
 // serveStream answers a request with the events of one run.
 func (di *Dispatcher) serveStream(ctx context.Context, ta *task) Reply {
 	ctx, cancel := context.WithDeadline(ctx, ta.deadline)
@@ -111,8 +107,6 @@
 	memory buffer.Share
 	// scannedBytes is the number of bytes of pending that have no further end of an event.
 	scannedBytes int
-	// hasEvents is set if the caller was told that the answer is a stream of events.
-	hasEvents bool
 	// scanErr is set once something stood where an event was due that must not be passed on.
 	scanErr error
 	// position is the place behind which the run goes on elsewhere.
@@ -157,7 +151,10 @@
 	re.ticket.Started()
 	re.ticket.Answered()
 	di.Log.Info().Str("event", "first_event").Str("request", ta.ID).Str("endpoint", en.ID).Dur("took", di.Clock.Since(ta.Arrived)).Msg("dispatch: stream started")
-	se := &session{di: di, ta: ta, ctx: ctx, cancel: cancel, destination: de, answer: re.answer, ticket: re.ticket, sentAt: re.sentAt, beganAt: di.Clock.Now(), memory: buffer.Share{Budget: di.Memory}, hasEvents: hasEvents(re.answer), position: position{lastEvent: ta.LastEvent, isPlain: !hasEvents(re.answer)}}
+	se := &session{
+		di: di, ta: ta, ctx: ctx, cancel: cancel, destination: de, answer: re.answer, ticket: re.ticket, sentAt: re.sentAt, beganAt: di.Clock.Now(),
+		memory: buffer.Share{Budget: di.Memory}, position: position{lastEvent: ta.LastEvent, isPlain: !hasEvents(re.answer)},
+	}
 	if ta.service.Engine != nil && ta.service.Engine.Migrates && di.Runs != nil {
 		se.run = &migration.Run{
 			ID: ta.ID, Service: ta.service.Name, Engine: ta.service.Engine,
@@ -222,26 +219,33 @@
 	if err == nil {
 		return
 	}
-	if errors.Is(err, io.EOF) && se.endsInEvent() {
-		// Its engine may still work on the run, or send the rest behind the answer.
-		se.answer.Distrust()
-		err = errUnfinishedEvent
-	}
+	err = endOfAnswer(se.answer, se.unscanned(), err)
 	if errors.Is(err, io.EOF) && se.endsComplete() {
-		se.completeBytes = len(se.pending)
-		se.di.Log.Info().Str("event", "delivered").Str("request", se.ta.ID).Str("endpoint", se.endpoint.ID).Int("events", se.events).
-			Int("moves", se.moves).Int("prompt", se.ta.Prompt.Tokens).Int("max_output", se.ta.Prompt.MaxOutput).Int("hint", se.ta.Prompt.OutputHint).
-			Dur("took", se.di.Clock.Since(se.ta.Arrived)).Msg("dispatch: stream delivered")
-		se.di.clearSuspicion(se.ta, se.endpoint)
-		if en := se.ta.service.Engine; en != nil {
-			se.di.outputEstimator.observe(se.ta.route.Name, se.events*en.TokensPerEvent)
-		}
-		se.finish(placement.Done, io.EOF)
+		se.complete()
 		return
 	}
 	se.continueStream(err)
 }
 
+// unscanned returns the lines behind the complete events in pending.
+func (se *session) unscanned() eventLines {
+	lines := eventLines{isPlain: se.position.isPlain}
+	lines.add(se.pending[se.completeBytes:])
+	return lines
+}
+
+// complete ends the session of a stream that came whole.
+func (se *session) complete() {
+	se.completeBytes = len(se.pending)
+	se.di.logDelivered(se.ta).Func(se.describe).Int("prompt", se.ta.Prompt.Tokens).
+		Int("max_output", se.ta.Prompt.MaxOutput).Int("hint", se.ta.Prompt.OutputHint).Msg("dispatch: stream delivered")
+	se.di.clearSuspicion(se.ta, se.endpoint)
+	if en := se.ta.service.Engine; en != nil {
+		se.di.outputEstimator.observe(se.ta.route.Name, se.events*en.TokensPerEvent)
+	}
+	se.finish(placement.Done, io.EOF)
+}
+
 // endsComplete reports whether io.EOF of an answer, which does not end inside an event, is
 // the end of the stream. If the end of the answer is not marked by its framing, but only by
 // the end of the connection, the stream counts as complete only if it ends after a complete
@@ -263,102 +267,6 @@
 	return se.events > se.answerFrom && se.run.Known().ProvesEnd()
 }
 
-// maxEventBytes limits one event. An endpoint that sends more without ending it sends no
-// events.
-const maxEventBytes = 1 << 20
-
-var errEventTooLarge = errors.New("dispatch: an event is too large")
-
-// smallPendingBytes is the size up to which the pending data of a stream is not taken
-// from Dispatcher.Memory.
-const smallPendingBytes = 2 * readBufferBytes
-
-// fitsInMemory reports whether the pending data is within its limits, and takes its
-// memory.
-func (se *session) fitsInMemory() bool {
-	if len(se.pending)-se.completeBytes > maxEventBytes {
-		return false
-	}
-	held := cap(se.pending)
-	return held <= smallPendingBytes || se.memory.Resize(int64(held))
-}
-
-var eventDelimiter = []byte("\n\n")
-
-// scanEvents counts the complete events in pending, and removes those that the caller has.
-// It returns the number of both.
-func (se *session) scanEvents() (arrived int) {
-	for se.scanErr == nil {
-		// The delimiter may begin with the last byte that was scanned.
-		from := max(se.completeBytes, se.scannedBytes-len(eventDelimiter)+1)
-		end := bytes.Index(se.pending[from:], eventDelimiter)
-		if end < 0 {
-			se.scannedBytes = len(se.pending)
-			break
-		}
-		end += from - se.completeBytes
-		event := se.pending[se.completeBytes : se.completeBytes+end]
-		if beginsAnswer(event) {
-			se.scanErr = errMixed
-			break
-		}
-		se.takeEvent(event, end+len(eventDelimiter))
-		arrived++
-	}
-	if se.run != nil {
-		se.run.SetEvents(se.events)
-	}
-	return arrived
-}
-
-// takeEvent takes the next event of pending, which has a size with its delimiter.
-func (se *session) takeEvent(event []byte, size int) {
-	switch se.position.take(event) {
-	case isOther:
-		se.scanErr = errDiverged
-	case isRepeated:
-		se.pending = slices.Delete(se.pending, se.completeBytes, se.completeBytes+size)
-		se.scannedBytes = se.completeBytes
-	case isNext:
-		se.completeBytes += size
-		se.events++
-		se.logPause()
-		se.keepIfLost()
-	}
-}
-
-// keepIfLost takes care that the run of a stream that can't go on elsewhere is not moved.
-func (se *session) keepIfLost() {
-	if se.position.lost && !se.kept && se.run != nil {
-		se.kept = true
-		se.di.Runs.Remove(se.run)
-	}
-}
-
-var errMixed = errors.New("dispatch: another answer begins where an event is due")
-
-// beginsAnswer reports whether an event has the status line of an answer in place of a field.
-// The framing of a stream without length and chunks doesn't show an answer inside it.
-func beginsAnswer(event []byte) bool {
-	for line := range bytes.SplitSeq(event, []byte("\n")) {
-		if bytes.HasPrefix(line, []byte("HTTP/1.")) {
-			return true
-		}
-	}
-	return false
-}
-
-// logPause logs a pause between events that is longer than the route's MaxGap.
-func (se *session) logPause() {
-	now := se.di.Clock.Now()
-	bound := se.ta.route.MaxGap
-	if gap := now.Sub(se.lastEventAt); se.events > 1 && bound > 0 && gap > bound {
-		se.di.Log.Info().Str("event", "stream_paused").Str("request", se.ta.ID).Str("endpoint", se.endpoint.ID).Int("events", se.events).
-			Int("moves", se.moves).Dur("pause", gap).Msg("dispatch: pause between events exceeds the route's limit")
-	}
-	se.lastEventAt = now
-}
-
 // requestMoves asks again for the runs of a leaving engine to be moved. This is
 // needed for a run that starts after the engine began to leave.
 func (di *Dispatcher) requestMoves(en roster.Endpoint) {
@@ -367,27 +275,22 @@
 	}
 }
 
-// fail ends the session of an incomplete stream. Unless the caller disconnected
-// or the deadline passed, the engine is probed for a crash.
+// fail ends the session of an incomplete stream. If it broke, the engine is probed for a
+// crash.
 func (se *session) fail(cause error) {
-	if se.ctx.Err() == nil {
-		se.di.Log.Info().Str("event", "stream_broken").Str("request", se.ta.ID).Str("endpoint", se.endpoint.ID).
-			Int("events", se.events).Str("last_event", se.position.lastEvent).Int("moves", se.moves).AnErr("cause", cause).Msg("dispatch: stream interrupted and not resumed")
-		se.di.Meter.countAttempt("stream_broken")
-		if !se.accounted {
-			se.di.reportCrash(se.ta, se.endpoint, se.crashFeatures()...)
-		}
-		se.finish(placement.Lost, errStreamBroken)
-		return
-	}
-	if shutdown.IsCause(context.Cause(se.ctx)) {
-		se.di.logCut(se.ta, se.events)
+	if !se.di.logIncomplete(se.ctx, se.ta, cause, se.events, se.describe) {
 		se.finish(placement.Done, errStreamBroken)
 		return
 	}
-	se.di.Log.Info().Str("event", "stream_given_up").Str("request", se.ta.ID).Str("endpoint", se.endpoint.ID).
-		Int("events", se.events).AnErr("cause", context.Cause(se.ctx)).Msg("dispatch: caller disconnected or deadline passed; stream ended")
-	se.finish(placement.Done, errStreamBroken)
+	if !se.accounted {
+		se.di.reportCrash(se.ta, se.endpoint, se.crashFeatures()...)
+	}
+	se.finish(placement.Lost, errStreamBroken)
+}
+
+// describe adds to a log line where the stream is.
+func (se *session) describe(li *zerolog.Event) {
+	li.Str("endpoint", se.endpoint.ID).Int("events", se.events).Str("last_event", se.position.lastEvent).Int("moves", se.moves)
 }
 
 // finish ends the session and releases its resources. Read returns err once the
--- a/internal/dispatch/unfinished.go
+++ b/internal/dispatch/unfinished.go
@@ -1,16 +1,11 @@
 package dispatch
 
 import (
-	"errors"
 	"strings"
 
 	"filbertstall.example/filbertstall/internal/upstream"
 )
 
-// errUnfinishedEvent is the cause with which a stream breaks off that its sender ended
-// inside an event. The framing of its body may say that it is whole.
-var errUnfinishedEvent = errors.New("dispatch: the stream ends inside an event")
-
 // eventStreamType is the media type of a stream of server-sent events.
 const eventStreamType = "text/event-stream"
 
@@ -26,6 +21,9 @@
 // feed, a carriage return or both, and an event with an empty line. A line that begins with
 // a colon is a comment and belongs to no event.
 type eventLines struct {
+	// isPlain is set if the caller was told that the answer is no stream of events. Nothing in
+	// it is unfinished.
+	isPlain bool
 	// inLine is set while a line has begun and not ended, inComment if it is a comment.
 	inLine, inComment bool
 	// inEvent is set while an event has a line and not yet its empty line.
@@ -36,6 +34,9 @@
 
 // add takes the next part of the stream.
 func (el *eventLines) add(part []byte) {
+	if el.isPlain {
+		return
+	}
 	for _, ch := range part {
 		endsBoth := ch == '\n' && el.afterReturn
 		el.afterReturn = ch == '\r'
@@ -58,11 +59,3 @@
 
 // unfinished reports whether the stream would end inside an event or a line.
 func (el *eventLines) unfinished() bool { return el.inLine || el.inEvent }
-
-// endsInEvent reports whether what was read ends inside an event. The framing does not
-// exclude that: an engine that fails may end its body in order.
-func (se *session) endsInEvent() bool {
-	var el eventLines
-	el.add(se.pending[se.completeBytes:])
-	return se.hasEvents && el.unfinished()
-}
--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -188,7 +188,7 @@
 func (tr Trace) Cause() string {
 	for ix := len(tr.Lines) - 1; ix >= 0; ix-- {
 		li := tr.Lines[ix]
-		if li.Request != tr.Request || li.Forwarded && li.Event == "stream_broken" && tr.brokeElsewhere() {
+		if li.Request != tr.Request || li.Forwarded && tr.brokeElsewhere() {
 			continue
 		}
 		switch li.Event {
@@ -208,9 +208,11 @@
 }
 
 // brokeElsewhere reports whether the instance that served a forwarded request logged that
-// its stream broke.
+// its stream broke or that the caller left.
 func (tr Trace) brokeElsewhere() bool {
-	return slices.ContainsFunc(tr.Lines, func(li Line) bool { return li.Event == "stream_broken" && !li.Forwarded })
+	return slices.ContainsFunc(tr.Lines, func(li Line) bool {
+		return !li.Forwarded && (li.Event == "stream_broken" || li.Event == "stream_given_up")
+	})
 }
 
 // forwardDetail tells which instance forwarded the request, if one did.
--- a/internal/trace/trace_test.go
+++ b/internal/trace/trace_test.go
@@ -112,6 +112,9 @@
 	g.Expect(tr.Lines[0].Event).To(Equal("path_lost"))
 	g.Expect(tr.Lines[1].String()).To(HaveSuffix("edge-1 forwarded to=edge-2"))
 	g.Expect(tr.Cause()).To(Equal("The stream broke at e1: unexpected EOF; edge-1 had forwarded the request to edge-2."))
+	tr, err = Read(strings.NewReader(strings.ReplaceAll(forwardLogs, "stream_broken", "stream_given_up")), "r5")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(tr.Cause()).To(HaveSuffix("while the stream ran at e1."))
 }
 
 // A stream that a shutdown cut was reported as one whose caller had left.
