--- a/internal/relay/follow.go
+++ b/internal/relay/follow.go
@@ -206,7 +206,6 @@
 // apply passes an update to the roster and to the list of instances.
 func (sw *Switch) apply(up Update) {
 	if up.Silent {
-		sw.Log.noteFailure()
 		sw.Log.noteSilence()
 	}
 	if up.Era > 0 {
