dispatch: an ID of an event is what a header field can have

What engines would see: a call that lets a run go on with a carriage return or another control character inside its Last-Event-Id. Strict ones reject it, others may read a further field. Only an engine's own events can cause it; nobody reported it.

Cause: the lines of an event were split at line feeds only, and the text behind "id:" went into the call as it was. A stream of events also ends lines with carriage returns, so "id: 5\rdata: x" has the ID 5.

Change: lines end with either; a text that no header field can have is no ID, so that the event counts as one without.

Evidence: the two new cases of TestRunGoesOnBehindEventsWithoutID failed before.

--- a/internal/dispatch/position.go
+++ b/internal/dispatch/position.go
@@ -4,6 +4,9 @@
 	"bytes"
 	"errors"
 	"hash/maphash"
+	"iter"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 // errDiverged means that an engine where a run goes on does not send again what it has to:
@@ -84,16 +87,31 @@
 
 // eventFields returns the last ID of an event, or an empty string if it has none, and whether
 // the event has data. One without data, such as a comment, is not passed to the program that
-// reads the stream.
+// reads the stream. A text that can't be sent in a header field is no ID.
 func eventFields(event []byte) (id string, hasData bool) {
-	for line := range bytes.SplitSeq(event, []byte("\n")) {
+	for line := range linesOf(event) {
 		name, value, _ := bytes.Cut(line, []byte(":"))
 		switch string(name) {
 		case "id":
-			id = string(bytes.TrimSpace(value))
+			if text := string(bytes.TrimSpace(value)); httpguts.ValidHeaderFieldValue(text) {
+				id = text
+			}
 		case "data":
 			hasData = true
 		}
 	}
 	return id, hasData
 }
+
+// linesOf returns the lines of an event, which end with a line feed, a carriage return or both.
+func linesOf(event []byte) iter.Seq[[]byte] {
+	return func(yield func([]byte) bool) {
+		for part := range bytes.SplitSeq(event, []byte("\n")) {
+			for line := range bytes.SplitSeq(part, []byte("\r")) {
+				if !yield(line) {
+					return
+				}
+			}
+		}
+	}
+}
--- a/internal/dispatch/position_test.go
+++ b/internal/dispatch/position_test.go
@@ -49,6 +49,8 @@
 		"a second time":                 {"", []string{first + third, first, first + third + six}, "", first + third + six, false},
 		"again behind one with an ID":   {"", []string{first + five, six}, "5", first + five + six, false},
 		"the second of two IDs":         {"", []string{"id: 4\nid: 5\ndata: x\n\n", six}, "5", "id: 4\nid: 5\ndata: x\n\n" + six, false},
+		"lines that end with a return":  {"", []string{"id: 5\rdata: x\n\n", six}, "5", "id: 5\rdata: x\n\n" + six, false},
+		"an ID that no field can have":  {"4", []string{"id: 5\x00\ndata: x\n\n", "id: 5\x00\ndata: x\n\n" + six}, "4", "id: 5\x00\ndata: x\n\n" + six, false},
 		"comments are none":             {"5", []string{": a\n\n", six}, "5", ": a\n\n" + six, false},
 		"nor are events without data":   {"5", []string{"retry: 9\n\n", six}, "5", "retry: 9\n\n" + six, false},
 		"comments between them":         {"", []string{": a\n\n" + first, first + ": b\n\n" + six}, "", ": a\n\n" + first + ": b\n\n" + six, false},
