--- a/internal/dispatch/position.go
+++ b/internal/dispatch/position.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"hash/maphash"
+	"iter"
 
 	"golang.org/x/net/http/httpguts"
 )
@@ -88,27 +89,29 @@
 // the event has data. One without data, such as a comment, is not passed to the program that
 // reads the stream. A text that can't be sent in a header field is no ID.
 func eventFields(event []byte) (id string, hasData bool) {
-	if bytes.IndexByte(event, '\r') >= 0 {
-		event = bytes.ReplaceAll(event, []byte("\r"), []byte("\n"))
-	}
-	for line := range bytes.SplitSeq(event, []byte("\n")) {
-		if text, found := fieldValue(line, "id"); found && httpguts.ValidHeaderFieldValue(text) {
-			id = text
+	for line := range linesOf(event) {
+		name, value, _ := bytes.Cut(line, []byte(":"))
+		switch string(name) {
+		case "id":
+			if text := string(bytes.TrimSpace(value)); httpguts.ValidHeaderFieldValue(text) {
+				id = text
+			}
+		case "data":
+			hasData = true
 		}
-		hasData = hasData || isField(line, "data")
 	}
 	return id, hasData
 }
 
-// fieldValue returns the value of a line that is a field with the given name.
-func fieldValue(line []byte, name string) (value string, found bool) {
-	if !isField(line, name) {
-		return "", false
+// linesOf returns the lines of an event, which end with a line feed, a carriage return or both.
+func linesOf(event []byte) iter.Seq[[]byte] {
+	return func(yield func([]byte) bool) {
+		for part := range bytes.SplitSeq(event, []byte("\n")) {
+			for line := range bytes.SplitSeq(part, []byte("\r")) {
+				if !yield(line) {
+					return
+				}
+			}
+		}
 	}
-	return string(bytes.TrimSpace(bytes.TrimPrefix(line[len(name):], []byte(":")))), true
-}
-
-// isField reports whether a line is a field with the given name.
-func isField(line []byte, name string) bool {
-	return len(line) >= len(name) && string(line[:len(name)]) == name && (len(line) == len(name) || line[len(name)] == ':')
 }
